Links ask for a sign of life; reports of former owners of an address change nothing; a host that knows nobody asks all seeds

Cause: a link that something between its ends has lost track of was noticed only when gossip happened to probe that host. Tests: linkHub.spec (failed before the change: no message in 10 s), announcementTopic.spec.

--- a/src/announcement/announcementTopic.ts
+++ b/src/announcement/announcementTopic.ts
@@ -58,7 +58,8 @@
 export const mergeAnnouncement = (tables: AnnouncementTables, announcement: Announcement, now: Millis): boolean => {
   const row = tables.backends.get(backendKey(announcement))
   const isNewLife = row === undefined || announcement.epoch > row.announcement.epoch
-  if (isNewLife && !holdsAddress(tables, announcement)) return false
+  const isRevival = row?.announcement.state === 'gone' && announcement.state !== 'gone'
+  if ((isNewLife || isRevival) && !holdsAddress(tables, announcement)) return false
   if (row === undefined) {
     tables.backends.put(createRow(announcement, now))
     return true
@@ -87,7 +88,7 @@
     const row = tables.backends.get(backendKey(report))
     if (row === undefined || row.announcement.epoch !== report.epoch || report.sequence < row.announcement.sequence) continue
     const { state } = row.announcement
-    const isRevived = state === 'gone' && report.sequence > row.announcement.sequence
+    const isRevived = state === 'gone' && report.sequence > row.announcement.sequence && holdsAddress(tables, row.announcement)
     row.announcement = { ...row.announcement, sequence: report.sequence, state: isRevived ? 'up' : state }
     row.heardAt = now
     if (isRevived) revived.push(row.announcement)
--- a/src/front-end/linkHub.spec.ts
+++ b/src/front-end/linkHub.spec.ts
@@ -1,5 +1,7 @@
 import t from 'tap'
 import type { Test } from 'tap'
+import { connect, createServer } from 'node:net'
+import type { AddressInfo } from 'node:net'
 import { WebSocket } from 'ws'
 import { toId } from '../core/id.js'
 import type { HostId } from '../core/id.js'
@@ -77,3 +79,29 @@
   t.equal(b.refused.length, 1 + bad.length)
   t.ok(encodeFrame(fetch).length < 40)
 })
+
+t.test('a link that goes silent without closing is replaced by a new one', async t => {
+  const a = await start(t, 'a', [KEY])
+  const b = await start(t, 'b', [KEY])
+  let isSilent = false
+  const relay = createServer(near => {
+    const far = connect(b.port, '127.0.0.1')
+    const silenced = isSilent
+    for (const [from, to] of [[near, far], [far, near]] as const) {
+      from.on('data', chunk => { if (!isSilent || silenced) to.write(chunk) })
+      from.on('error', () => {})
+      from.on('close', () => { to.destroy() })
+    }
+  })
+  await new Promise<void>(resolve => { relay.listen(0, '127.0.0.1', resolve) })
+  t.teardown(() => { relay.close() })
+  const { port } = relay.address() as AddressInfo
+  const send = (): void => { a.hub.send(toId<HostId>('b'), { address: '127.0.0.1', port }, fetch) }
+  send()
+  await until(() => b.received.length === 1)
+  isSilent = true
+  const timer = setInterval(send, 100)
+  await until(() => b.received.length > 1)
+  clearInterval(timer)
+  t.pass('messages flow again over another connection')
+})
--- a/src/front-end/linkHub.ts
+++ b/src/front-end/linkHub.ts
@@ -43,13 +43,23 @@
   readonly events: LinkEvents
 }
 
+/** A link that has been quiet for this long is asked for a sign of life with the next message. */
+const QUIET_MS = 500
+/** Without any sign within this time the link is closed: something between its ends may have lost track of it. */
+const SIGN_OF_LIFE_MS = 1_200
+
 interface Link {
   readonly host: HostId
   readonly socket: WebSocket
   isReady: boolean
   waiting: LinkMessage[]
+  heardAt: number
+  /** Runs while a sign of life is waited for. */
+  deadline: NodeJS.Timeout | null
 }
 
+const createLink = (host: HostId, socket: WebSocket, isReady: boolean): Link => ({ host, socket, isReady, waiting: [], heardAt: performance.now(), deadline: null })
+
 const toBuffer = (data: RawData): Buffer => Array.isArray(data) ? Buffer.concat(data) : Buffer.from(data as Buffer)
 
 /** All links of a process. */
@@ -101,17 +111,35 @@
     const bytes = encodeFrame(message)
     this.options.events.onTraffic('out', bytes.length)
     link.socket.send(bytes)
+    if (link.deadline === null && performance.now() - link.heardAt > QUIET_MS) this.#askForLife(link)
+  }
+
+  #askForLife (link: Link): void {
+    link.deadline = setTimeout(() => {
+      this.options.log.warn({ host: link.host }, 'link is silent and is closed')
+      link.socket.terminate()
+    }, SIGN_OF_LIFE_MS)
+    link.deadline.unref()
+    link.socket.ping()
+  }
+
+  #noteLife (link: Link): void {
+    link.heardAt = performance.now()
+    if (link.deadline === null) return
+    clearTimeout(link.deadline)
+    link.deadline = null
   }
 
   #dial (host: HostId, address: Address): Link {
     const socket = new WebSocket(`ws://${address.address}:${address.port}`, { handshakeTimeout: HANDSHAKE_TIMEOUT_MS, perMessageDeflate: false, maxPayload: MAX_FRAME_BYTES })
-    const link: Link = { host, socket, isReady: false, waiting: [] }
+    const link = createLink(host, socket, false)
     this.#links.set(host, link)
     const ownNonce = createNonce()
     let expected: readonly string[] = []
     this.#guard(link)
     socket.on('message', data => {
       if (link.isReady) {
+        this.#noteLife(link)
         this.#receive(link.host, toBuffer(data))
         return
       }
@@ -142,6 +170,7 @@
     socket.send(encodeFrame({ nonce: ownNonce }))
     socket.on('message', data => {
       if (link !== null) {
+        this.#noteLife(link)
         this.#receive(link.host, toBuffer(data))
         return
       }
@@ -165,7 +194,7 @@
 
   // The newest proved connection is the one to send on: an older one may have gone silent without closing.
   #adopt (host: HostId, socket: WebSocket): Link {
-    const link: Link = { host, socket, isReady: true, waiting: [] }
+    const link = createLink(host, socket, true)
     const older = this.#links.get(host)
     this.#links.set(host, link)
     this.#guard(link)
@@ -186,7 +215,11 @@
 
   #guard (link: Link): void {
     const forget = (): void => { if (this.#links.get(link.host) === link) this.#links.delete(link.host) }
-    link.socket.on('close', forget)
+    link.socket.on('pong', () => { this.#noteLife(link) })
+    link.socket.on('close', () => {
+      if (link.deadline !== null) clearTimeout(link.deadline)
+      forget()
+    })
     link.socket.on('error', () => {
       forget()
       link.socket.terminate()
--- a/src/membership/probeSystem.ts
+++ b/src/membership/probeSystem.ts
@@ -99,8 +99,16 @@
     gossip.nextSyncAt = tick.now + (isAlone ? PROBE_INTERVAL : SYNC_INTERVAL)
     const target = pick(tick.random, others)
     if (target === undefined) return
-    sendTo(tick, target.host, target.link, { kind: 'rumors', rumors: [{ topic: 'member', member: gossip.self }] })
-    sendSync(tick, target.host, target.link, false)
+    // Seeds may be down, so a host that knows nobody asks all of them.
+    for (const seed of isAlone ? gossip.seeds : []) {
+      if (seed.host !== target.host) this.#introduce(tick, seed.host, seed.link)
+    }
+    this.#introduce(tick, target.host, target.link)
+  }
+
+  #introduce (tick: GossipTick, host: HostId, link: Address): void {
+    sendTo(tick, host, link, { kind: 'rumors', rumors: [{ topic: 'member', member: tick.tables.gossip.self }] })
+    sendSync(tick, host, link, false)
   }
 
   #fetch (tick: GossipTick): void {
--- a/tap-snapshots/platform/providerDialect.spec.ts.test.cjs
+++ b/tap-snapshots/platform/providerDialect.spec.ts.test.cjs
@@ -106,6 +106,7 @@
   "ownFailure": "answer",
   "shed": "shed",
   "unavailableButMayHaveRun": "answer",
+  "withoutAttempt": "stray",
   "withoutSeal": "stray",
 }
 `
