--- a/src/command-line/exitCodes.ts
+++ b/src/command-line/exitCodes.ts
@@ -1,4 +1,4 @@
-/** Exit codes of the command line, stated in docs/OPERATING.md. */
+/** Exit codes of the command line, stated in docs/OPERATIONS.md. */
 
 /** What each exit code means. */
 export const exitCodes = {
--- a/src/front-end/callerDialect.ts
+++ b/src/front-end/callerDialect.ts
@@ -16,6 +16,8 @@
   readonly timeoutMs: number | null
   readonly affinity: string | null
   readonly idempotencyKey: string | null
+  /** The caller's own name for this request, under which decisions about it are logged; null when it has none. */
+  readonly requestId: string | null
 }
 
 /** What a caller asks for. */
--- a/src/front-end/callerServer.ts
+++ b/src/front-end/callerServer.ts
@@ -30,6 +30,7 @@
 const REQUEST_TIMEOUT_MS = 120_000
 const IDLE_CONNECTION_MS = 30_000
 const MS_PER_SECOND = 1_000
+const REQUEST_ID_LENGTH = 128
 
 /** What the caller server is made from. */
 export interface CallerServerOptions {
@@ -110,6 +111,11 @@
     return `${this.options.host}-${this.#count}`
   }
 
+  #nameExchange ({ requestId }: CallerRequest): ExchangeId {
+    const own = requestId === null ? null : toId<ExchangeId>(requestId.slice(0, REQUEST_ID_LENGTH))
+    return own === null || this.#exchanges.has(own) ? toId<ExchangeId>(this.#nextId()) : own
+  }
+
   #route (request: IncomingMessage, response: ServerResponse): void {
     const question = this.options.dialect.read(request)
     if (question.kind === 'lookup') this.#takeLookup(request, response, question)
@@ -137,7 +143,7 @@
   }
 
   async #takeRequest (request: IncomingMessage, response: ServerResponse, question: CallerRequest): Promise<void> {
-    const exchange = toId<ExchangeId>(this.#nextId())
+    const exchange = this.#nameExchange(question)
     const body = await takeBody(request, this.options.limits)
     if ('kind' in body) {
       if (body.kind === 'too-large') sendJson(response, 413, { error: { reason: 'body-too-large', ran: 'not-run' } }, true)
--- a/src/front-end/serviceDialect.ts
+++ b/src/front-end/serviceDialect.ts
@@ -34,7 +34,8 @@
       key,
       timeoutMs: Number.isFinite(timeout) && timeout > 0 ? timeout : null,
       affinity: null,
-      idempotencyKey: typeof idempotencyKey === 'string' && idempotencyKey !== '' ? idempotencyKey.slice(0, IDEMPOTENCY_KEY_LENGTH) : null
+      idempotencyKey: typeof idempotencyKey === 'string' && idempotencyKey !== '' ? idempotencyKey.slice(0, IDEMPOTENCY_KEY_LENGTH) : null,
+      requestId: null
     }
   }
 
--- a/tap-snapshots/platform/providerDialect.spec.ts.test.cjs
+++ b/tap-snapshots/platform/providerDialect.spec.ts.test.cjs
@@ -66,6 +66,7 @@
     "key": null,
     "kind": "request",
     "path": "/read/1?x=1",
+    "requestId": "a1",
     "target": Object {
       "authority": "shop.example",
       "kind": "route",
@@ -78,6 +79,7 @@
     "key": "secret",
     "kind": "request",
     "path": "/read/1?x=1",
+    "requestId": "a1",
     "target": Object {
       "authority": "shop.example",
       "kind": "route",
