--- a/src/front-end/attemptClient.ts
+++ b/src/front-end/attemptClient.ts
@@ -2,7 +2,7 @@
 
 import { Readable } from 'node:stream'
 import type { IncomingHttpHeaders } from 'node:http'
-import { Agent } from 'undici'
+import { Agent, buildConnector } from 'undici'
 import type { Dispatcher } from 'undici'
 import type { AttemptResult } from '../exchange/types.js'
 
@@ -19,7 +19,7 @@
 const WHOLE_ANSWER_BYTES = 256 * 1024
 
 class AttemptEnd extends Error {
-  constructor (readonly code: 'ATTEMPT_TIMEOUT' | 'ABORTED') { super(code) }
+  constructor (readonly code: 'ATTEMPT_TIMEOUT' | 'ABORTED' | 'ANSWER_RESET') { super(code) }
 }
 
 const NOT_SENT: ReadonlySet<string> = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL', 'UND_ERR_CONNECT_TIMEOUT'])
@@ -80,6 +80,28 @@
   return headers
 }
 
+/** Whether a connection is being reset at this moment: the client library takes an answer without a length for complete then. */
+class ResetWatch {
+  isResetting = false
+
+  readonly connect: buildConnector.connector = (options, callback) => {
+    this.#connector(options, (...result) => {
+      const socket = result[1]
+      // Ours runs before the library's own listener, which would end the answer within the same event.
+      socket?.on('error', () => {
+        this.isResetting = true
+        queueMicrotask(() => { this.isResetting = false })
+      })
+      callback(...result)
+    })
+  }
+
+  readonly #connector = buildConnector({ timeout: CONNECT_TIMEOUT_MS })
+}
+
+const hasLength = (headers: IncomingHttpHeaders): boolean =>
+  headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
+
 /** Takes one answer in, whole if it is small. */
 class AnswerReader implements Dispatcher.DispatchHandlers {
   readonly answer: Promise<AttemptAnswer>
@@ -94,7 +116,7 @@
   #flowing: Readable | null = null
   readonly #timer: NodeJS.Timeout
 
-  constructor (timeoutMs: number) {
+  constructor (timeoutMs: number, readonly watch: ResetWatch) {
     this.answer = new Promise((resolve, reject) => { this.#settle = { resolve, reject } })
     this.#timer = setTimeout(() => { this.end(new AttemptEnd('ATTEMPT_TIMEOUT')) }, timeoutMs)
   }
@@ -126,6 +148,10 @@
   }
 
   onComplete (): void {
+    if (this.watch.isResetting && !hasLength(this.#headers)) {
+      this.#fail(new AttemptEnd('ANSWER_RESET'))
+      return
+    }
     clearTimeout(this.#timer)
     if (this.#flowing !== null) this.#flowing.push(null)
     else this.#settle.resolve({ statusCode: this.#statusCode, headers: this.#headers, body: Buffer.concat(this.#chunks) })
@@ -154,14 +180,15 @@
 
 /** Connections to backend servers. */
 export class AttemptClient {
-  readonly #safe = new Agent({ pipelining: 1, keepAliveTimeout: KEEP_ALIVE_MS, keepAliveMaxTimeout: KEEP_ALIVE_MS, connect: { timeout: CONNECT_TIMEOUT_MS } })
-  readonly #unsafe = new Agent({ pipelining: 1, keepAliveTimeout: KEEP_ALIVE_UNSAFE_MS, keepAliveMaxTimeout: KEEP_ALIVE_UNSAFE_MS, connect: { timeout: CONNECT_TIMEOUT_MS } })
+  readonly #watch = new ResetWatch()
+  readonly #safe = new Agent({ pipelining: 1, keepAliveTimeout: KEEP_ALIVE_MS, keepAliveMaxTimeout: KEEP_ALIVE_MS, connect: this.#watch.connect })
+  readonly #unsafe = new Agent({ pipelining: 1, keepAliveTimeout: KEEP_ALIVE_UNSAFE_MS, keepAliveMaxTimeout: KEEP_ALIVE_UNSAFE_MS, connect: this.#watch.connect })
 
   /** Sends a request; an answer that flows must be read to its end or discarded. */
   send (request: AttemptRequest): RunningAttempt {
     const { origin, path, method, headers, body, isSafeToLose, timeoutMs } = request
     // The client's own timers are too coarse for a deadline.
-    const reader = new AnswerReader(timeoutMs)
+    const reader = new AnswerReader(timeoutMs, this.#watch)
     const agent = isSafeToLose ? this.#safe : this.#unsafe
     try {
       agent.dispatch({ origin, path, method: method as Dispatcher.HttpMethod, headers, body, headersTimeout: 0, bodyTimeout: BODY_SILENCE_MS }, reader)
--- /dev/null
+++ b/tap-snapshots/src/front-end/attemptClient.spec.ts.test.cjs
@@ -0,0 +1,52 @@
+/* IMPORTANT
+ * This snapshot file is auto-generated, but designed for humans.
+ * It should be checked into source control and tracked carefully.
+ * Re-generate by setting TAP_SNAPSHOT=1 and running tests.
+ * Make sure to inspect the output below.  Do not ignore changes!
+ */
+'use strict'
+exports[`src/front-end/attemptClient.spec.ts > TAP > answers that break off, come twice or are no answers > must match snapshot 1`] = `
+Object {
+  "cutChunks": Object {
+    "kind": "lost",
+    "reason": "UND_ERR_SOCKET",
+  },
+  "noise": Object {
+    "kind": "lost",
+    "reason": "HPE_INVALID_CONSTANT",
+  },
+  "refused": Object {
+    "kind": "not-sent",
+    "reason": "ECONNREFUSED",
+  },
+  "short": Object {
+    "kind": "lost",
+    "reason": "UND_ERR_SOCKET",
+  },
+  "silent": Object {
+    "kind": "lost",
+    "reason": "ATTEMPT_TIMEOUT",
+  },
+  "twiceFirst": Object {
+    "body": "1",
+    "status": 200,
+  },
+  "twiceNext": Object {
+    "body": "2",
+    "status": 200,
+  },
+}
+`
+
+exports[`src/front-end/attemptClient.spec.ts > TAP > answers without a length are complete only when their connection ends properly > must match snapshot 1`] = `
+Object {
+  "ended": Object {
+    "body": "whole",
+    "status": 200,
+  },
+  "reset": Object {
+    "kind": "lost",
+    "reason": "ANSWER_RESET",
+  },
+}
+`
