--- /dev/null
+++ b/src/warmup/warmupSystem.spec.ts
@@ -0,0 +1,61 @@
+import t from 'tap'
+import { toId } from '../core/id.js'
+import type { ZoneId } from '../core/id.js'
+import { applyChange } from '../configuration/applyChange.js'
+import type { Command } from '../configuration/types.js'
+import { ConfigurationBuilder, VirtualEntry, delayBetween, ordinaryTerms, placesOver } from '../stand-ins/virtualEntry.js'
+import type { Plan } from '../plan/types.js'
+import { ExpectedLatency } from '../backend-choice/backendChoice.js'
+import { defaultPolicies } from '../entry/entryWorld.js'
+import { VirtualFleet } from '../stand-ins/virtualFleet.js'
+
+const RATE = 16
+const ALLOWED = RATE * 1.5 + 5
+
+const plan: Plan = {
+  version: 1,
+  terms: { ...ordinaryTerms, shiftCap: 0.1, shiftWindowMs: 2_000 },
+  routes: [{ route: toId('read'), authority: 'a.example', prefix: '/', repetition: 'idempotent', timeoutMs: 2_000, targetMs: 300, rank: 0, split: [{ service: toId('s'), weight: 1 }], attempts: 2, isOpen: true, hasAffinity: true, allowedRegions: [] }],
+  services: [{ service: toId('s'), healthPath: '/health', connections: 100, warmup: { coldMs: 3_000, ratePerS: RATE } }],
+  workspaces: [],
+  document: null
+}
+
+t.test('when an evacuation ends, the servers of the zone get no more than cold ones may', async t => {
+  const places = placesOver(['n', 'm'], 2, 4)
+  const fleet = new VirtualFleet(4)
+  fleet.network.delay = delayBetween(30)
+  const entry = new VirtualEntry(fleet, places, new ConfigurationBuilder().run({ kind: 'put-plan', plan }).snapshot(), () => ({ ...defaultPolicies(), choice: new ExpectedLatency() }))
+  for (const zone of ['n1', 'n2', 'm1', 'm2']) entry.addServer('s', `server-${zone}`, zone, 6, 60).tellsLoad = true
+  fleet.runFor(8_000)
+  const order = (command: Command): void => {
+    for (const place of places) {
+      const { configuration } = entry.tables(place.host)
+      applyChange(configuration, { index: configuration.index + 1, envelope: { requestId: toId('r'), operator: toId('o'), roles: ['assign'], command } })
+    }
+  }
+  const server = entry.servers.get('server-n1')
+  const starts: number[] = []
+  const load = (millis: number): void => {
+    for (let at = 0; at < millis; at += 4) {
+      const before = server?.started ?? 0
+      entry.send(places[(at / 4) % places.length]?.host ?? '', { service: 's', workspace: '', authority: 'a.example', affinity: `o${at % 40}` })
+      fleet.runFor(4)
+      for (let count = before; count < (server?.started ?? 0); count += 1) starts.push(fleet.now)
+    }
+  }
+  const zone = toId<ZoneId>('n1')
+  load(1_000)
+  order({ kind: 'start-evacuation', zone })
+  load(2_000)
+  const during = starts.filter(at => at > fleet.now - 1_900).length
+  order({ kind: 'end-evacuation', zone })
+  const endedAt = fleet.now
+  load(2_000)
+  let most = 0
+  for (const at of starts) {
+    if (at > endedAt) most = Math.max(most, starts.filter(other => other >= at && other < at + 1_000).length)
+  }
+  t.equal(during, 0, 'nothing while it is evacuated')
+  t.ok(most > 0 && most <= ALLOWED, `${most} in one second`)
+})
