--- a/src/lookup/lookupSystem.ts
+++ b/src/lookup/lookupSystem.ts
@@ -23,8 +23,6 @@
 export const LOCATED_HOSTS = 64
 /** How long an answer by place may be used; some callers go on for three times as long. */
 export const LOCATED_TTL: Millis = 1_000
-/** With fewer hosts than this in its own zone, a caller gets those of its region. */
-const ZONE_HOSTS_ENOUGH = 2
 
 /** Tables that look-ups read. */
 export interface LookupTables extends Pick<MembershipTables, 'members' | 'gossip'>, ShiftTables {
@@ -153,12 +151,23 @@
 
 const isNear = (place: Place, host: RankedHost): boolean => host.zone === place.zone
 
-// Entry hosts of the caller's own zone; with too few of them those of its region; without any, those that are left.
-const nearestTo = (place: Place, hosts: readonly RankedHost[]): readonly RankedHost[] => {
-  const inZone = hosts.filter(host => isNear(place, host))
-  if (inZone.length >= ZONE_HOSTS_ENOUGH) return inZone
+/** Draws hosts without repetition. */
+const draw = (random: Random, hosts: RankedHost[], most: number): RankedHost[] => {
+  const drawn: RankedHost[] = []
+  while (drawn.length < most && hosts.length > 0) drawn.push(...hosts.splice(random.below(hosts.length), 1))
+  return drawn
+}
+
+// Entry hosts of the caller's own zone, filled up from its region to an even part of the region's hosts: a zone with few
+// hosts has as many callers as its neighbour. Without any in the region, those that are left.
+const nearestTo = (place: Place, hosts: readonly RankedHost[], random: Random): readonly RankedHost[] => {
   const inRegion = hosts.filter(host => host.region === place.region)
-  return inRegion.length > 0 ? inRegion : hosts
+  if (inRegion.length === 0) return hosts
+  const inZone = inRegion.filter(host => isNear(place, host))
+  const zones = new Set(inRegion.map(host => host.zone)).add(place.zone)
+  const evenPart = Math.ceil(inRegion.length / zones.size)
+  if (inZone.length >= evenPart) return inZone
+  return [...inZone, ...draw(random, inRegion.filter(host => !isNear(place, host)), evenPart - inZone.length)]
 }
 
 const locateHosts = (tables: LookupTables, random: Random, question: LookupReceived): LookupAnswered => {
@@ -168,7 +177,7 @@
     serving.push({ host: member.host, region: member.region, zone: member.zone, callers: member.callers })
   }
   const { region, zone } = question.place ?? tables.gossip.self
-  const near = nearestTo({ region, zone }, serving)
+  const near = nearestTo({ region, zone }, serving, random)
   if (near.length === 0 || tables.configuration.index === 0) return refuse(tables, question, { kind: 'no-entry-host' })
   const first = random.below(near.length)
   const hosts = [...near.slice(first), ...near.slice(0, first)].slice(0, LOCATED_HOSTS)
