--- a/src/control/controlOutbox.ts
+++ b/src/control/controlOutbox.ts
@@ -28,7 +28,7 @@
       this.#records.push(row.record)
       this.#sequence = row.sequence
       this.#writing ??= this.#drain()
-    } else if (row.kind === 'proposal-answer' || row.kind === 'read-answer') {
+    } else if (row.kind === 'proposal-answer' || row.kind === 'read-answer' || row.kind === 'lookup-answer') {
       this.targets.answer(row)
     } else if (row.kind === 'drop-link') {
       this.targets.drop(row)
--- a/src/control/controlWorld.ts
+++ b/src/control/controlWorld.ts
@@ -7,6 +7,9 @@
 import type { BackendRow } from '../announcement/types.js'
 import { createConfiguration, installSnapshot } from '../configuration/configurationTables.js'
 import { RecentChanges } from '../configuration/recentChanges.js'
+import { BlockTable } from '../lookup/blockTable.js'
+import { LookupSystem, RankingCache } from '../lookup/lookupSystem.js'
+import type { AwayLimitRow, ShiftRow } from '../shift/types.js'
 import type { Withdrawal } from '../key-check/types.js'
 import { GossipReceiveSystem } from '../membership/gossipReceiveSystem.js'
 import { ProbeSystem } from '../membership/probeSystem.js'
@@ -60,7 +63,11 @@
     recentChanges: new RecentChanges(),
     withdrawals,
     backends: new RowTable<string, BackendRow>(row => row.key),
-    suspicions: new RowTable<SuspectId, SuspicionRow>(row => row.suspicion.suspect)
+    suspicions: new RowTable<SuspectId, SuspicionRow>(row => row.suspicion.suspect),
+    blocks: new BlockTable([]),
+    rankings: new RankingCache(),
+    shifts: new RowTable<string, ShiftRow>(row => row.subject),
+    awayLimits: new RowTable<string, AwayLimitRow>(row => row.key)
   }
 }
 
@@ -72,6 +79,7 @@
     new GossipReceiveSystem(),
     new ReportSystem(),
     new AnnouncementSystem(seed.reportExpiryMs ?? ANNOUNCEMENT_EXPIRY, true),
+    new LookupSystem(),
     new ElectionSystem(),
     new ReplicationReceiveSystem(),
     new CommitSystem(),
--- /dev/null
+++ b/src/exchange/overload.spec.ts
@@ -0,0 +1,30 @@
+import t from 'tap'
+import { toId } from '../core/id.js'
+import { ConfigurationBuilder, VirtualEntry, ordinaryTerms, placesOver } from '../stand-ins/virtualEntry.js'
+import { VirtualFleet } from '../stand-ins/virtualFleet.js'
+import type { Plan } from '../plan/types.js'
+import { BEHIND, examine } from './requestSystem.js'
+import type { RequestReceived } from './types.js'
+
+const places = placesOver(['n'], 1, 1)
+
+const plan: Plan = {
+  version: 1,
+  terms: ordinaryTerms,
+  routes: [{ route: toId('read'), authority: 'a.example', prefix: '/', repetition: 'idempotent', timeoutMs: 2_000, targetMs: 300, rank: 0, split: [{ service: toId('s'), weight: 1 }], attempts: 2, isOpen: true, hasAffinity: true, allowedRegions: [] }],
+  services: [{ service: toId('s'), healthPath: '/health', connections: 10, warmup: { coldMs: 0, ratePerS: 100 } }],
+  workspaces: [],
+  document: null
+}
+
+t.test('a host that is behind with its work refuses new requests at once and sends none on', async t => {
+  const fleet = new VirtualFleet(1)
+  const entry = new VirtualEntry(fleet, places, new ConfigurationBuilder().run({ kind: 'put-plan', plan }).snapshot())
+  fleet.runFor(1_000)
+  const request = { kind: 'request', exchange: toId('x'), target: { kind: 'route', authority: 'a.example' }, path: '/1', method: 'GET', key: null, affinity: null, timeoutMs: null, fingerprint: '', replayable: true, idempotencyKey: null, ticketAgeMs: null } as unknown as RequestReceived
+  const verdictAfter = (lag: number): string => {
+    const verdict = examine({ tables: entry.tables('n1-1'), random: fleet.random, now: fleet.now }, { ...request, readAt: fleet.now - lag })
+    return typeof verdict === 'string' ? verdict : 'admitted'
+  }
+  t.matchSnapshot({ atOnce: verdictAfter(0), atTheLimit: verdictAfter(BEHIND), behind: verdictAfter(BEHIND + 1) })
+})
--- a/src/exchange/requestSystem.ts
+++ b/src/exchange/requestSystem.ts
@@ -35,10 +35,17 @@
   return result.tag === 'error' ? result.error.kind : result.value
 }
 
+/** A process that takes this long from reading a request to deciding about it has no processor time for more. */
+export const BEHIND: Millis = 60
+
+const isBehind = ({ target, readAt }: RequestReceived, now: Millis): boolean =>
+  target.kind === 'route' && typeof readAt === 'number' && now - readAt > BEHIND
+
 /** Decides whether a request may go on; a reason when it may not. */
 export const examine = (tick: Pick<RequestTick, 'tables' | 'random' | 'now'>, request: RequestReceived): Admittance | RefusalReason => {
   const { tables, random, now } = tick
   if (!isServing(tables.lifecycle, now)) return 'stopping'
+  if (isBehind(request, now)) return 'overloaded'
   const destination = findDestination(tables.configuration, random, request)
   if (typeof destination === 'string') return tables.gossip.confirmedAt === null ? 'configuration-not-loaded' : destination
   const workspace = checkWorkspace(tables, destination, request, now)
--- a/src/exchange/types.ts
+++ b/src/exchange/types.ts
@@ -52,6 +52,8 @@
   readonly key: KeyDigest | null
   /** The object that the request concerns, where the caller names one. */
   readonly affinity: string | null
+  /** When the edge had read it, by the clock of ticks; null where the edge does not say. */
+  readonly readAt?: Millis | null
   /** Deadline that the caller asked for, in milliseconds from now; null takes the service's. */
   readonly timeoutMs: Millis | null
   /** Identifies equal requests: method, path and body. */
--- a/src/front-end/callerServer.ts
+++ b/src/front-end/callerServer.ts
@@ -166,6 +166,7 @@
       path,
       key: key === null ? null : digestKey(key),
       affinity,
+      readAt: performance.now(),
       timeoutMs,
       fingerprint: `${method} ${path} ${body.digest}`,
       replayable: body.replayable,
--- a/src/warmup/coldGate.ts
+++ b/src/warmup/coldGate.ts
@@ -18,7 +18,8 @@
   const near: string[] = []
   const all: string[] = []
   for (const { member } of tables.members.rows()) {
-    if (member.role !== 'entry' || member.state !== 'alive') continue
+    // A leaving host still serves what it gets.
+    if (member.role !== 'entry' || (member.state !== 'alive' && member.state !== 'leaving')) continue
     all.push(member.host)
     if (member.zone === row.announcement.zone) near.push(member.host)
   }
--- /dev/null
+++ b/tap-snapshots/src/exchange/overload.spec.ts.test.cjs
@@ -0,0 +1,14 @@
+/* IMPORTANT
+ * This snapshot file is auto-generated, but designed for humans.
+ * It should be checked into source control and tracked carefully.
+ * Re-generate by setting TAP_SNAPSHOT=1 and running tests.
+ * Make sure to inspect the output below.  Do not ignore changes!
+ */
+'use strict'
+exports[`src/exchange/overload.spec.ts > TAP > a host that is behind with its work refuses new requests at once and sends none on > must match snapshot 1`] = `
+Object {
+  "atOnce": "admitted",
+  "atTheLimit": "admitted",
+  "behind": "overloaded",
+}
+`
