--- a/src/exchange/refusal.ts
+++ b/src/exchange/refusal.ts
@@ -26,7 +26,7 @@
   'no-backend': { status: 503, ran: 'not-run', retryAfterMs: 500 },
   'shift-capped': { status: 503, ran: 'not-run', retryAfterMs: 1_000 },
   shed: { status: 503, ran: 'not-run', retryAfterMs: 500 },
-  overloaded: { status: 503, ran: 'not-run', retryAfterMs: 250 },
+  overloaded: { status: 503, ran: 'not-run', retryAfterMs: 400 },
   deadline: { status: 504, ran: 'not-run', retryAfterMs: null },
   stopping: { status: 503, ran: 'not-run', retryAfterMs: 0 },
   'attempt-failed': { status: 502, ran: 'unknown', retryAfterMs: 500 },
--- a/src/front-end/attemptClient.ts
+++ b/src/front-end/attemptClient.ts
@@ -80,23 +80,39 @@
   return headers
 }
 
-/** Whether a connection is being reset at this moment: the client library takes an answer without a length for complete then. */
+/** For this long after a reset, an answer without a length from the same server is not believed to be complete. */
+const RESET_MEMORY_MS = 1_000
+
+/** Remembers which servers have reset a connection: the client library takes an answer without a length for complete then. */
 class ResetWatch {
-  isResetting = false
+  readonly #resets = new Map<string, number>()
+  readonly #connector = buildConnector({ timeout: CONNECT_TIMEOUT_MS })
 
   readonly connect: buildConnector.connector = (options, callback) => {
+    const origin = `http://${options.hostname}:${options.port}`
     this.#connector(options, (...result) => {
       const socket = result[1]
-      // Ours runs before the library's own listener, which would end the answer within the same event.
-      socket?.on('error', () => {
-        this.isResetting = true
-        queueMicrotask(() => { this.isResetting = false })
-      })
+      // Ours run before the library's own listeners, which may end the answer within the same event.
+      socket?.on('error', () => { this.#note(origin) })
+      socket?.on('close', () => { if (!socket.readableEnded) this.#note(origin) })
       callback(...result)
     })
   }
 
-  readonly #connector = buildConnector({ timeout: CONNECT_TIMEOUT_MS })
+  /** Whether a connection to a server was reset lately. */
+  wasReset (origin: string): boolean {
+    const at = this.#resets.get(origin)
+    return at !== undefined && performance.now() - at < RESET_MEMORY_MS
+  }
+
+  #note (origin: string): void {
+    this.#resets.delete(origin)
+    this.#resets.set(origin, performance.now())
+    for (const [oldest, at] of this.#resets) {
+      if (performance.now() - at < RESET_MEMORY_MS) break
+      this.#resets.delete(oldest)
+    }
+  }
 }
 
 const hasLength = (headers: IncomingHttpHeaders): boolean =>
@@ -116,7 +132,7 @@
   #flowing: Readable | null = null
   readonly #timer: NodeJS.Timeout
 
-  constructor (timeoutMs: number, readonly watch: ResetWatch) {
+  constructor (timeoutMs: number, readonly origin: string, readonly watch: ResetWatch) {
     this.answer = new Promise((resolve, reject) => { this.#settle = { resolve, reject } })
     this.#timer = setTimeout(() => { this.end(new AttemptEnd('ATTEMPT_TIMEOUT')) }, timeoutMs)
   }
@@ -148,7 +164,7 @@
   }
 
   onComplete (): void {
-    if (this.watch.isResetting && !hasLength(this.#headers)) {
+    if (!hasLength(this.#headers) && this.watch.wasReset(this.origin)) {
       this.#fail(new AttemptEnd('ANSWER_RESET'))
       return
     }
@@ -188,7 +204,7 @@
   send (request: AttemptRequest): RunningAttempt {
     const { origin, path, method, headers, body, isSafeToLose, timeoutMs } = request
     // The client's own timers are too coarse for a deadline.
-    const reader = new AnswerReader(timeoutMs, this.#watch)
+    const reader = new AnswerReader(timeoutMs, origin, this.#watch)
     const agent = isSafeToLose ? this.#safe : this.#unsafe
     try {
       agent.dispatch({ origin, path, method: method as Dispatcher.HttpMethod, headers, body, headersTimeout: 0, bodyTimeout: BODY_SILENCE_MS }, reader)
--- a/tap-snapshots/platform/providerDialect.spec.ts.test.cjs
+++ b/tap-snapshots/platform/providerDialect.spec.ts.test.cjs
@@ -30,7 +30,7 @@
   },
   "overloaded": Object {
     "body": "{\\"error\\":{\\"reason\\":\\"overloaded\\",\\"ran\\":\\"not-run\\"}}",
-    "retry-after": "0.250",
+    "retry-after": "0.400",
     "status": 503,
     "x-attempt-id": "a1",
   },
