--- a/src/announcement/announcementTopic.ts
+++ b/src/announcement/announcementTopic.ts
@@ -1,5 +1,6 @@
 /** Rumors about backend servers, and the row that each host keeps for one. */
 
+import type { BackendId } from '../core/id.js'
 import type { Millis } from '../core/tick.js'
 import type { Report } from '../membership/types.js'
 import type { RumorTopic } from '../membership/rumorTopic.js'
@@ -81,6 +82,16 @@
   return isWorthTelling(announcement, known)
 }
 
+/** The announcement of one life of a server by its name alone; of its newest life when none is named. */
+export const findLife = (tables: AnnouncementTables, backend: BackendId, epoch: number | null): Announcement | undefined => {
+  let found: Announcement | undefined
+  for (const { announcement } of tables.backends.rows()) {
+    if (announcement.backend !== backend || (epoch !== null && announcement.epoch !== epoch)) continue
+    if (found === undefined || announcement.epoch > found.epoch) found = announcement
+  }
+  return found
+}
+
 /** Takes what other control hosts heard from backend servers; returns those that had been taken for gone. */
 export const takeReports = (tables: AnnouncementTables, reports: readonly Report[], now: Millis): Announcement[] => {
   const revived: Announcement[] = []
--- a/src/command-line/main.ts
+++ b/src/command-line/main.ts
@@ -19,6 +19,7 @@
 import type { CallTarget } from './operatorClient.js'
 import { operatorCommands } from './operatorCommands.js'
 import type { CommandOptions } from './operatorCommands.js'
+import { stopOnSignals } from './stopOnSignals.js'
 import { describeStartError } from './runningProcess.js'
 import { version } from './version.js'
 
@@ -41,14 +42,7 @@
   const settings = requireSettings(options.config)
   const started = settings.role === 'entry' ? await startEntryProcess(settings) : await startControlProcess(settings)
   if (started.tag === 'error') return complain(describeStartError(started.error), exitCodes.cannotStart)
-  let isStopping = false
-  const stop = (): void => {
-    if (isStopping) return
-    isStopping = true
-    started.value.stop().then(() => process.exit(exitCodes.success), fatal)
-  }
-  process.on('SIGTERM', stop)
-  process.on('SIGINT', stop)
+  stopOnSignals(started.value, fatal)
 }
 
 const check = (options: CommandOptions): void => {
--- a/src/control/controlProcess.ts
+++ b/src/control/controlProcess.ts
@@ -12,7 +12,7 @@
 import { toSeeds } from '../entry/entryProcess.js'
 import { OperatorServer } from '../front-end/operatorServer.js'
 import type { Operator } from '../front-end/operatorServer.js'
-import type { Member } from '../membership/types.js'
+import { createMember } from '../membership/createMember.js'
 import { createLog } from '../observability/log.js'
 import { createReplica } from '../replicated-log/diskStore.js'
 import { OperatorAdmission } from '../replicated-log/replicaAdmission.js'
@@ -44,19 +44,6 @@
   }
 }
 
-const createSelf = (settings: ControlSettings): Member => ({
-  host: toId(settings.host),
-  role: 'control',
-  region: toId(settings.region),
-  zone: toId(settings.zone),
-  site: toId(settings.zone),
-  link: settings.link,
-  callers: null,
-  epoch: Date.now(),
-  incarnation: 0,
-  state: 'alive'
-})
-
 const founderOf = (founder: ControlSettings['founders'][number]): Replica => ({
   replica: toId<ReplicaId>(`${founder.host}#0`),
   host: toId(founder.host),
@@ -89,7 +76,7 @@
   const operators = loadOperators(settings.operatorsFile)
   if (operators.tag === 'error') return operators
   return await runControl({
-    self: createSelf(settings),
+    self: createMember('control', settings, null),
     seeds: toSeeds(settings.seeds),
     fleetKeys: fleetKeys.value,
     dataFolder: settings.dataFolder,
--- a/src/entry/entryProcess.ts
+++ b/src/entry/entryProcess.ts
@@ -9,7 +9,8 @@
 import { ServiceDialect } from '../front-end/serviceDialect.js'
 import { BlockTable, parseBlock } from '../lookup/blockTable.js'
 import type { ClientBlock } from '../lookup/blockTable.js'
-import type { Address, Member, Seed } from '../membership/types.js'
+import { createMember } from '../membership/createMember.js'
+import type { Address, Seed } from '../membership/types.js'
 import { createLog } from '../observability/log.js'
 import { Tracing } from '../observability/tracing.js'
 import { SecretFile } from '../settings/secretFile.js'
@@ -37,19 +38,6 @@
   return ok(new BlockTable(blocks))
 }
 
-const createSelf = (settings: EntrySettings): Member => ({
-  host: toId(settings.host),
-  role: 'entry',
-  region: toId(settings.region),
-  zone: toId(settings.zone),
-  site: toId(settings.site ?? settings.zone),
-  link: settings.link,
-  callers: settings.callers,
-  epoch: Date.now(),
-  incarnation: 0,
-  state: 'alive'
-})
-
 /** Members that seeds in settings name. */
 export const toSeeds = (seeds: EntrySettings['seeds']): Seed[] =>
   seeds.map(seed => ({ host: toId(seed.host), link: { address: seed.address, port: seed.port } }))
@@ -89,7 +77,7 @@
   const blocks = settings.clientBlocksFile === undefined ? ok(new BlockTable([])) : loadBlocks(settings.clientBlocksFile)
   if (blocks.tag === 'error') return blocks
   return await runEntry({
-    self: createSelf(settings),
+    self: createMember('entry', settings, settings.callers),
     seeds: toSeeds(settings.seeds),
     fleetKeys: fleetKeys.value,
     blocks: blocks.value,
--- a/src/front-end/callerHeaders.ts
+++ b/src/front-end/callerHeaders.ts
@@ -64,3 +64,25 @@
   }
   return forwarded
 }
+
+/** A header that came once and is not empty; null otherwise. */
+export const textOf = (value: string | string[] | undefined): string | null =>
+  typeof value === 'string' && value !== '' ? value : null
+
+/** A number above 0; null for anything else. */
+export const positiveNumber = (text: string | null): number | null => {
+  const value = Number(text)
+  return text === null || !Number.isFinite(value) || value <= 0 ? null : value
+}
+
+/** The value of a cookie; null when it is not there. */
+export const findCookie = (header: string | undefined, name: string): string | null => {
+  for (const pair of (header ?? '').split(';')) {
+    const [key, value] = pair.trim().split('=', 2)
+    if (key === name && value !== undefined && value !== '') return value
+  }
+  return null
+}
+
+/** The authority that a request names, in lower case and without a port. */
+export const authorityOf = (headers: IncomingHttpHeaders): string => (headers.host ?? '').replace(/:\d+$/, '').toLowerCase()
--- a/src/front-end/jsonBody.ts
+++ b/src/front-end/jsonBody.ts
@@ -1,6 +1,7 @@
 /** Reads and writes small JSON bodies. */
 
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { z } from 'zod'
 
 /** A body's text; undefined when it is too large or cut. */
 export const readText = async (request: IncomingMessage, limit: number): Promise<string | undefined> => {
@@ -28,6 +29,18 @@
   }
 }
 
+/** The first problem of a body that does not have its schema, with its path. */
+export const firstProblem = (error: z.ZodError): string => {
+  const issue = error.issues[0]
+  return `${issue?.path.join('.') ?? ''}: ${issue?.message ?? ''}`
+}
+
+/** A request's address as a URL; null when it is none. */
+export const parseUrl = (request: IncomingMessage): URL | null => {
+  const text = request.url ?? ''
+  return URL.canParse(text, 'http://localhost') ? new URL(text, 'http://localhost') : null
+}
+
 /** The parsed body; undefined when it is too large, cut or no JSON. */
 export const readJson = async (request: IncomingMessage, limit: number): Promise<unknown> => {
   const text = await readText(request, limit)
--- a/src/front-end/operatorServer.ts
+++ b/src/front-end/operatorServer.ts
@@ -9,9 +9,10 @@
 import type { Command, Role } from '../configuration/types.js'
 import type { ControlInput, ControlTables } from '../control/types.js'
 import type { Address } from '../membership/types.js'
-import type { CallId, ProposalAnswered, ProposalError } from '../replicated-log/types.js'
+import type { ProposalAnswered, ProposalError } from '../replicated-log/types.js'
 import { listenOn } from './listen.js'
 import { describeConfiguration, describeStatus } from './operatorViews.js'
+import { CallBook } from './callBook.js'
 import { readJson, sendJson } from './jsonBody.js'
 import { commandSchema } from './messageSchema.js'
 
@@ -53,7 +54,7 @@
 /** Serves operators over HTTP. */
 export class OperatorServer {
   readonly #server: Server
-  readonly #calls = new Map<CallId, { response: ServerResponse, timer: NodeJS.Timeout }>()
+  readonly #calls = new CallBook(ANSWER_TIMEOUT_MS, call => { this.deliver({ kind: 'proposal-answer', call, receipt: null, error: { kind: 'outcome-unknown' } }) })
 
   constructor (readonly options: OperatorServerOptions) {
     this.#server = createServer((request, response) => { void this.#route(request, response) })
@@ -64,10 +65,8 @@
 
   /** Answers the operator whose call has an outcome. */
   deliver (row: ProposalAnswered): void {
-    const call = this.#calls.get(row.call)
+    const call = this.#calls.take(row.call)
     if (call === undefined) return
-    this.#calls.delete(row.call)
-    clearTimeout(call.timer)
     if (row.error === null) sendJson(call.response, 200, { receipt: row.receipt })
     else sendJson(call.response, statusOf(row.error), { error: row.error })
   }
@@ -106,7 +105,7 @@
       return
     }
     const requestId = request.headers['request-id']
-    const call = this.#openCall(response)
+    const call = this.#calls.open(response, '')
     this.options.push({
       kind: 'propose',
       call,
@@ -124,15 +123,6 @@
     const parsed = admitSchema.safeParse(await readJson(request, MAX_BODY_BYTES))
     if (!parsed.success) sendJson(response, 400, { error: { kind: 'command-malformed' } })
     else if (!operator.roles.includes('assign')) sendJson(response, 403, { error: { kind: 'role-missing', role: 'assign' } })
-    else this.options.push({ kind: 'admit', call: this.#openCall(response), host: toId<HostId>(parsed.data.host) })
-  }
-
-  #openCall (response: ServerResponse): CallId {
-    const call = toId<CallId>(randomUUID())
-    const timer = setTimeout(() => {
-      this.deliver({ kind: 'proposal-answer', call, receipt: null, error: { kind: 'outcome-unknown' } })
-    }, ANSWER_TIMEOUT_MS)
-    this.#calls.set(call, { response, timer })
-    return call
+    else this.options.push({ kind: 'admit', call: this.#calls.open(response, ''), host: toId<HostId>(parsed.data.host) })
   }
 }
