--- a/src/entry/entryRuntime.ts
+++ b/src/entry/entryRuntime.ts
@@ -50,6 +50,8 @@
   readonly policies: PolicySettings
   readonly reach?: ReachName
   readonly metrics: Address | undefined
+  /** Whether the runtime's own metrics are kept; they are when absent. */
+  readonly hasRuntimeMetrics?: boolean
   readonly recordFile: string | undefined
   readonly tracing: Tracing | null
   readonly log: Log
@@ -77,7 +79,7 @@
 /** Starts an entry host; a value says why it cannot start. */
 export const runEntry = async (setup: EntrySetup): Promise<Outcome<RunningProcess, StartError>> => {
   const { self, seeds, log, tracing, policies } = setup
-  const metrics = new Metrics()
+  const metrics = new Metrics(setup.hasRuntimeMetrics)
   const randomSeed = Date.now() ^ process.pid
   const seed = { self, seeds, randomSeed, now: monotonicClock() }
   const world = createEntryWorld({ ...seed, reach: setup.reach, blocks: setup.blocks, policies: namedPolicies(policies) })
--- a/src/exchange/destination.ts
+++ b/src/exchange/destination.ts
@@ -77,13 +77,6 @@
   return both.length === 0 ? 'none' : both
 }
 
-const isMostUrgent = (configuration: Configuration, service: Service, route: Route): boolean => {
-  for (const other of configuration.plan?.routes ?? []) {
-    if (other.rank < route.rank && other.split.some(part => part.service === service.service)) return false
-  }
-  return true
-}
-
 const serviceBounds = (service: Service, request: RequestReceived): Bounds => ({
   route: null,
   idempotent: IDEMPOTENT_METHODS.has(request.method),
@@ -108,7 +101,7 @@
     targetMs: route.targetMs,
     attemptsAllowed: route.attempts,
     rank: (workspace?.rank ?? 0) * ROUTE_RANKS + route.rank,
-    isFirstRank: isMostUrgent(configuration, service, route),
+    isFirstRank: configuration.routes.isFirstRank(service.service, route.rank),
     allowedRegions,
     affinity: route.hasAffinity ? request.affinity : null
   }
--- a/src/observability/metrics.ts
+++ b/src/observability/metrics.ts
@@ -27,7 +27,10 @@
   readonly members = new Gauge({ name: 'rhubarbseam_members', help: 'Members by state', labelNames: ['state'], registers: [this.registry] })
   readonly backends = new Gauge({ name: 'rhubarbseam_backend_servers', help: 'Backend servers by state', labelNames: ['state'], registers: [this.registry] })
 
-  constructor () { collectDefaultMetrics({ register: this.registry, eventLoopMonitoringPrecision: EVENT_LOOP_SAMPLE_MS }) }
+  /** The runtime's own metrics cost a callback for each garbage collection; small hosts go without them. */
+  constructor (withRuntime = true) {
+    if (withRuntime) collectDefaultMetrics({ register: this.registry, eventLoopMonitoringPrecision: EVENT_LOOP_SAMPLE_MS })
+  }
 }
 
 /** Serves the metrics and, on entry hosts, the journal; rejects when the address cannot be had. */
