--- a/src/exchange/overload.spec.ts
+++ b/src/exchange/overload.spec.ts
@@ -26,5 +26,5 @@
     const verdict = examine({ tables: entry.tables('n1-1'), random: fleet.random, now: fleet.now }, { ...request, readAt: fleet.now - lag })
     return typeof verdict === 'string' ? verdict : 'admitted'
   }
-  t.matchSnapshot({ atOnce: verdictAfter(0), atTheLimit: verdictAfter(BEHIND), behind: verdictAfter(BEHIND + 1) })
+  t.matchSnapshot({ atOnce: verdictAfter(0), atTheLimit: verdictAfter(BEHIND), behind: verdictAfter(BEHIND + 1), late: examine({ tables: entry.tables('n1-1'), random: fleet.random, now: fleet.now }, { ...request, readAt: fleet.now, isLate: true }) })
 })
--- a/src/exchange/requestSystem.ts
+++ b/src/exchange/requestSystem.ts
@@ -38,8 +38,8 @@
 /** A process that takes this long from reading a request to deciding about it has no processor time for more. */
 export const BEHIND: Millis = 60
 
-const isBehind = ({ target, readAt }: RequestReceived, now: Millis): boolean =>
-  target.kind === 'route' && typeof readAt === 'number' && now - readAt > BEHIND
+const isBehind = ({ target, readAt, isLate }: RequestReceived, now: Millis): boolean =>
+  target.kind === 'route' && (isLate === true || (typeof readAt === 'number' && now - readAt > BEHIND))
 
 /** Decides whether a request may go on; a reason when it may not. */
 export const examine = (tick: Pick<RequestTick, 'tables' | 'random' | 'now'>, request: RequestReceived): Admittance | RefusalReason => {
--- a/src/exchange/types.ts
+++ b/src/exchange/types.ts
@@ -54,6 +54,8 @@
   readonly affinity: string | null
   /** When the edge had read it, by the clock of ticks; null where the edge does not say. */
   readonly readAt?: Millis | null
+  /** Whether the process had no rest before it read it, so that it may have waited unread for long. */
+  readonly isLate?: boolean
   /** Deadline that the caller asked for, in milliseconds from now; null takes the service's. */
   readonly timeoutMs: Millis | null
   /** Identifies equal requests: method, path and body. */
--- a/src/front-end/callerServer.ts
+++ b/src/front-end/callerServer.ts
@@ -23,6 +23,7 @@
 import type { AttemptAnswer, AttemptRequest, RunningAttempt } from './attemptClient.js'
 import type { CallerDialect, CallerQuestion, CallerRequest } from './callerDialect.js'
 import { sendJson } from './jsonBody.js'
+import { LoopWatch } from './loopWatch.js'
 import { limitBody, takeBody } from './requestBody.js'
 import type { BodyLimits, RequestBody } from './requestBody.js'
 
@@ -64,6 +65,7 @@
 export class CallerServer {
   readonly #server: Server
   readonly #client = new AttemptClient()
+  readonly #loop = new LoopWatch()
   readonly #exchanges = new Map<ExchangeId, Exchange>()
   readonly #lookups = new Map<LookupId, ServerResponse>()
   #count = 0
@@ -167,6 +169,7 @@
       key: key === null ? null : digestKey(key),
       affinity,
       readAt: performance.now(),
+      isLate: this.#loop.isSaturated(),
       timeoutMs,
       fingerprint: `${method} ${path} ${body.digest}`,
       replayable: body.replayable,
--- a/tap-snapshots/src/exchange/overload.spec.ts.test.cjs
+++ b/tap-snapshots/src/exchange/overload.spec.ts.test.cjs
@@ -10,5 +10,6 @@
   "atOnce": "admitted",
   "atTheLimit": "admitted",
   "behind": "overloaded",
+  "late": "overloaded",
 }
 `
