--- a/src/exchange/attemptSystem.ts
+++ b/src/exchange/attemptSystem.ts
@@ -177,10 +177,15 @@
       this.#queueAgain(tick, exchange, backend)
       return
     }
+    this.#refuse(tick, exchange, 'shed', {})
+  }
+
+  // The attempt before this end did not run; an earlier one may have.
+  #refuse (tick: AttemptTick, exchange: ExchangeRow, reason: 'shed' | 'no-backend', facts: Readonly<Record<string, string>>): void {
     tick.tables.exchanges.remove(exchange.exchange)
     endClaim(tick, exchange.exchange, { kind: exchange.mayHaveRun ? 'unknown' : 'released' })
-    noteRefusal(tick, exchange, 'shed')
-    tick.emit(createRefusal(exchange.exchange, 'shed', { ran: exchange.mayHaveRun ? 'unknown' : 'not-run' }))
+    noteRefusal(tick, exchange, reason, facts)
+    tick.emit(createRefusal(exchange.exchange, reason, { ran: exchange.mayHaveRun ? 'unknown' : 'not-run' }))
   }
 
   #finish (tick: AttemptTick, exchange: ExchangeRow, answer: RecordedAnswer | null): void {
@@ -256,10 +261,7 @@
       this.#queueAgain(tick, exchange, backend)
       return
     }
-    tick.tables.exchanges.remove(exchange.exchange)
-    endClaim(tick, exchange.exchange, { kind: exchange.mayHaveRun ? 'unknown' : 'released' })
-    noteRefusal(tick, exchange, 'no-backend', { result: 'misdirected' })
-    tick.emit(createRefusal(exchange.exchange, 'no-backend', { ran: exchange.mayHaveRun ? 'unknown' : 'not-run' }))
+    this.#refuse(tick, exchange, 'no-backend', { result: 'misdirected' })
   }
 
   #queueAgain (tick: AttemptTick, exchange: ExchangeRow, backend: BackendRow | undefined): void {
