--- a/src/entry/readiness.ts
+++ b/src/entry/readiness.ts
@@ -2,6 +2,6 @@
 
 import type { EntryTables } from './types.js'
 
-/** Ready with a confirmed configuration, until it begins to leave. */
-export const isReady = ({ lifecycle, gossip, configuration }: EntryTables): boolean =>
-  lifecycle.phase === 'serving' && gossip.confirmedAt !== null && configuration.index > 0 && configuration.services.size > 0
+/** Ready with a confirmed configuration and some backend server heard of, until it begins to leave. */
+export const isReady = ({ lifecycle, gossip, configuration, backends }: EntryTables): boolean =>
+  lifecycle.phase === 'serving' && gossip.confirmedAt !== null && configuration.services.size > 0 && backends.size > 0
