Control hosts elect sooner after a start; links give up a dial after a second

Control hosts that start waited a whole election timeout (1 to 2 s) before the first campaign, and a dial to a machine that was still dark hung for 2 s with the messages that wait for it. Ruled out: backend servers' reports (every 1.5 s; entry hosts refused as configuration-not-loaded until then, not as no-backend). Change: a start grace of 500 ms for a leader that is there, then a campaign within 500 ms; pre-vote keeps a working leader (tested); dials end after 1 s.

--- a/src/control/controlWorld.ts
+++ b/src/control/controlWorld.ts
@@ -28,7 +28,7 @@
 import { ReadSystem } from '../replicated-log/readSystem.js'
 import { GroupSystem } from '../replicated-log/groupSystem.js'
 import { createLogTables } from '../replicated-log/replicaTables.js'
-import { ELECTION_TIMEOUT } from '../replicated-log/replicaSteps.js'
+import { START_GRACE } from '../replicated-log/timing.js'
 import { ReplicationReceiveSystem, ReplicationSendSystem } from '../replicated-log/replicationSystem.js'
 import type { DiskImage } from '../replicated-log/types.js'
 import type { SuspectId, SuspicionRow } from '../suspicion/types.js'
@@ -89,6 +89,6 @@
     new ProbeSystem(partners),
     new SpreadSystem(partners, createReach(seed.reach ?? 'epidemic', partners))
   ] as Array<System<ControlTables, ControlInput, ControlOutput>>
-  const electionAt = seed.now + ELECTION_TIMEOUT + random.below(ELECTION_TIMEOUT)
+  const electionAt = seed.now + START_GRACE + random.below(START_GRACE)
   return { tables: createTables(seed, electionAt), systems, random }
 }
--- a/src/front-end/linkHub.ts
+++ b/src/front-end/linkHub.ts
@@ -15,7 +15,7 @@
 import { createNonce, createProof, isSameProof } from './linkProof.js'
 
 const MAX_FRAME_BYTES = 16 * 1024 * 1024
-const HANDSHAKE_TIMEOUT_MS = 2_000
+const HANDSHAKE_TIMEOUT_MS = 1_000
 /** Messages kept while a link is being set up; gossip repairs what is dropped beyond that. */
 const WAITING_MESSAGES = 256
 
--- a/src/front-end/operatorViews.ts
+++ b/src/front-end/operatorViews.ts
@@ -2,7 +2,7 @@
 
 import { takeSnapshot } from '../configuration/configurationTables.js'
 import type { ControlTables } from '../control/types.js'
-import { ELECTION_TIMEOUT } from '../replicated-log/replicaSteps.js'
+import { ELECTION_TIMEOUT } from '../replicated-log/timing.js'
 
 // A host that was cut off must not answer as if its copy were current.
 const describeCurrency = (tables: ControlTables, now: number): Record<string, unknown> => {
--- a/src/replicated-log/automaticGroup.spec.ts
+++ b/src/replicated-log/automaticGroup.spec.ts
@@ -83,3 +83,33 @@
     return error === null ? 'vouched' : error?.kind ?? 'no answer'
   }))
 })
+
+/** Time from the start of all control hosts within which a leader vouches for what it holds. */
+const VOUCHED_WITHIN_MS = 1_000
+
+t.test('after all hosts were killed a leader vouches again soon', async t => {
+  for (const seed of [11, 12, 13, 14, 15, 16]) {
+    const { fleet, control } = start(seed)
+    fleet.runFor(9_000)
+    for (const name of control.hosts) control.kill(name)
+    fleet.runFor(1_000)
+    for (const name of control.hosts) control.start(name)
+    const startedAt = fleet.now
+    while (!control.hosts.some(name => control.tables(name).gossip.confirmedAt !== null) && fleet.now < startedAt + 10_000) fleet.runFor(10)
+    t.ok(fleet.now - startedAt <= VOUCHED_WITHIN_MS, `seed ${seed}: after ${Math.round(fleet.now - startedAt)} ms`)
+  }
+})
+
+t.test('a host that starts again beside a working leader does not depose it', async t => {
+  const { fleet, control } = start(17)
+  fleet.runFor(9_000)
+  const leader = leaderOf(control)
+  const term = control.tables(leader).replica.term
+  for (const name of control.hosts.filter(other => other !== leader).slice(0, 2)) {
+    control.kill(name)
+    fleet.runFor(200)
+    control.start(name)
+    fleet.runFor(3_000)
+  }
+  t.same({ leader: leaderOf(control), term: control.tables(leader).replica.term }, { leader, term })
+})
--- a/src/replicated-log/electionSystem.ts
+++ b/src/replicated-log/electionSystem.ts
@@ -2,7 +2,8 @@
 
 import type { Millis, System } from '../core/tick.js'
 import { NEVER } from '../core/tick.js'
-import { ELECTION_TIMEOUT, appendOwn, becomeFollower, drawElectionAt, isVoter, otherReplicas, persistVote, quorumOf, replicaAt, sendLog } from './replicaSteps.js'
+import { appendOwn, becomeFollower, drawElectionAt, isVoter, otherReplicas, persistVote, quorumOf, replicaAt, sendLog } from './replicaSteps.js'
+import { ELECTION_TIMEOUT } from './timing.js'
 import type { LogInput, LogOutput, LogTick, ReplicaTables } from './replicaSteps.js'
 import type { LogMessage } from './types.js'
 import type { HostId } from '../core/id.js'
--- a/src/replicated-log/replicaSteps.ts
+++ b/src/replicated-log/replicaSteps.ts
@@ -3,14 +3,11 @@
 import type { HostId } from '../core/id.js'
 import type { Millis, Tick } from '../core/tick.js'
 import type { Configuration } from '../configuration/configurationTables.js'
+import { ELECTION_TIMEOUT } from './timing.js'
 import { latestGroup } from './replicaTables.js'
 import type { CommandProposed, DiskRecord, Entry, LogMessage, LogMessageSent, LogTables, Payload, Persisted, PersistRequested, ProposalAnswered, Replica, ReplicaAdmitted, ReplicaId } from './types.js'
 import type { MessageReceived } from '../membership/types.js'
 
-/** Shortest silence of a leader after which another may be elected. */
-export const ELECTION_TIMEOUT: Millis = 1_000
-/** Time between two heartbeats of a leader. */
-export const HEARTBEAT: Millis = 300
 /** Entries in one append message. */
 export const ENTRIES_PER_APPEND = 64
 
--- a/src/replicated-log/replicaTables.ts
+++ b/src/replicated-log/replicaTables.ts
@@ -5,6 +5,7 @@
 import type { Millis } from '../core/tick.js'
 import type { LogIndex } from '../configuration/types.js'
 import { LogTable } from './logTable.js'
+import { ELECTION_TIMEOUT, START_GRACE } from './timing.js'
 import type { CallId, DiskImage, Entry, FollowerRow, Group, JoinRow, LogTables, ProposalRow, ReadRow, Replica, ReplicaId } from './types.js'
 
 /** Nobody: a replica that has not been admitted knows no group and never votes. */
@@ -19,7 +20,7 @@
   return image.snapshot?.group ?? NO_GROUP
 }
 
-/** A replica as it starts; it waits a whole election time before it campaigns. */
+/** A replica as it starts; it gives a leader that is there time to be heard before it campaigns or votes. */
 export const createLogTables = (self: Replica, image: DiskImage, now: Millis, electionAt: Millis): LogTables => {
   const base = image.snapshot
   const log = new LogTable(base?.index ?? 0, base?.term ?? 0, image.entries)
@@ -31,7 +32,7 @@
       votedFor: image.votedFor,
       leader: null,
       commit: base?.index ?? 0,
-      leaderHeardAt: now,
+      leaderHeardAt: now - ELECTION_TIMEOUT + START_GRACE,
       electionAt,
       heartbeatAt: Number.POSITIVE_INFINITY,
       round: 0,
--- /dev/null
+++ b/src/replicated-log/timing.ts
@@ -0,0 +1,10 @@
+/** Times of the log protocol. */
+
+import type { Millis } from '../core/tick.js'
+
+/** Shortest silence of a leader after which another may be elected. */
+export const ELECTION_TIMEOUT: Millis = 1_000
+/** Time between two heartbeats of a leader. */
+export const HEARTBEAT: Millis = 300
+/** A replica that starts waits this long for a leader that is there: it would hear a heartbeat, a new connection to it included. */
+export const START_GRACE: Millis = 500
