--- a/platform/directoryServer.ts
+++ b/src/front-end/lookupServer.ts
@@ -1,20 +1,31 @@
-/** Answers the provider's questions about where to connect, and whether this host is ready. */
+/** Answers look-ups by place, and whether this host is ready, on addresses of their own. */
 
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
-import { toId } from '../src/core/id.js'
-import type { RegionId, ZoneId } from '../src/core/id.js'
-import { parseUrl, sendJson } from '../src/front-end/jsonBody.js'
-import { listenOn } from '../src/front-end/listen.js'
-import type { LookupAnswered, LookupId, LookupReceived } from '../src/lookup/types.js'
-import type { Address, Member } from '../src/membership/types.js'
-import type { Metrics } from '../src/observability/metrics.js'
+import { toId } from '../core/id.js'
+import type { Millis } from '../core/tick.js'
+import type { LookupAnswered, LookupId, LookupReceived, Place, RankedHost } from '../lookup/types.js'
+import type { Address } from '../membership/types.js'
+import type { Metrics } from '../observability/metrics.js'
+import { parseUrl, sendJson } from './jsonBody.js'
+import { listenOn } from './listen.js'
 
-const MS_PER_SECOND = 1_000
+/** What a caller asks. */
+export type LookupQuestion =
+  | { readonly kind: 'readiness' }
+  | { readonly kind: 'lookup', readonly place: Place }
+  | { readonly kind: 'unknown' }
 
-/** What the directory needs of its process. */
-export interface DirectoryContext {
-  readonly self: () => Member
+/** One way to speak about look-ups. */
+export interface LookupDialect {
+  read (url: URL): LookupQuestion
+  /** The body that names hosts for a time, in milliseconds. */
+  answer (hosts: readonly RankedHost[], ttlMs: Millis): unknown
+}
+
+/** What look-ups need of their process. */
+export interface LookupContext {
+  readonly dialect: LookupDialect
   readonly metrics: Metrics
   push (row: LookupReceived): void
   /** Whether callers may be sent here. */
@@ -24,12 +35,12 @@
 }
 
 /** Serves look-ups and readiness, on one address or two. */
-export class DirectoryServer {
+export class LookupServer {
   readonly #servers: Server[] = []
   readonly #open = new Map<LookupId, ServerResponse>()
   #count = 0
 
-  constructor (readonly context: DirectoryContext) {}
+  constructor (readonly context: LookupContext) {}
 
   /** Listens on one more address; rejects when it cannot be had. */
   async listen (address: Address): Promise<number> {
@@ -45,7 +56,7 @@
     this.#open.delete(row.lookup)
     this.context.metrics.lookups.inc({ outcome: row.error?.kind ?? 'answered' })
     if (row.error !== null) sendJson(response, 503, { error: row.error.kind })
-    else sendJson(response, 200, { addresses: row.hosts.map(({ callers }) => `${callers.address}:${callers.port}`), ttlS: row.ttlMs / MS_PER_SECOND })
+    else sendJson(response, 200, this.context.dialect.answer(row.hosts, row.ttlMs))
   }
 
   close (): void {
@@ -57,8 +68,9 @@
 
   #route (request: IncomingMessage, response: ServerResponse): void {
     const url = parseUrl(request)
-    if (url?.pathname === '/api/ready') this.#answerReady(response)
-    else if (url?.pathname === '/api/lookup') this.#takeLookup(url.searchParams, response)
+    const question: LookupQuestion = url === null ? { kind: 'unknown' } : this.context.dialect.read(url)
+    if (question.kind === 'readiness') this.#answerReady(response)
+    else if (question.kind === 'lookup') this.#takeLookup(question.place, response)
     else sendJson(response, 404, { error: 'path-unknown' })
   }
 
@@ -67,10 +79,7 @@
     sendJson(response, ready ? 200 : 503, { ready })
   }
 
-  #takeLookup (query: URLSearchParams, response: ServerResponse): void {
-    const region = query.get('region')
-    const zone = query.get('zone')
-    const self = this.context.self()
+  #takeLookup (place: Place, response: ServerResponse): void {
     if (!this.context.isServing()) {
       sendJson(response, 503, { error: 'stopping' }, true)
       return
@@ -79,7 +88,6 @@
     const lookup = toId<LookupId>(`directory-${this.#count}`)
     this.#open.set(lookup, response)
     response.once('close', () => { this.#open.delete(lookup) })
-    const place = { region: toId<RegionId>(region ?? self.region), zone: toId<ZoneId>(zone ?? self.zone) }
     this.context.push({ kind: 'lookup', lookup, service: null, client: null, place })
   }
 }
