--- a/src/affinity/affinity.spec.ts
+++ b/src/affinity/affinity.spec.ts
@@ -1,5 +1,6 @@
 import t from 'tap'
 import { toId } from '../core/id.js'
+import { findHomeServers } from '../backend-choice/candidates.js'
 import { ExpectedLatency, TwoChoices } from '../backend-choice/backendChoice.js'
 import type { BackendChoice } from '../backend-choice/types.js'
 import { defaultPolicies } from '../entry/entryWorld.js'
@@ -102,6 +103,25 @@
   t.same(after.filter((home, object) => home !== before[object] && before[object] !== 's/n1-1'), [])
 })
 
+t.test('objects have their homes on servers in full service, and on any that are up where there are none', async t => {
+  const fleet = new VirtualFleet(3)
+  const entry = new VirtualEntry(fleet, places, new ConfigurationBuilder().run({ kind: 'put-plan', plan }).snapshot())
+  for (const name of ['a', 'b', 'c', 'd']) entry.addServer('s', name, 'n1', 6, COLD_MS)
+  fleet.runFor(2_000)
+  const tables = entry.tables('n1-1')
+  const homes = (): string[] => findHomeServers(tables, { service: toId('s'), allowedRegions: [] }, fleet.now).map(row => row.announcement.backend)
+  const rows = tables.backends.group('s')
+  const found = { all: homes(), withoutEjectedAndCold: [] as string[], noneSound: [] as string[] }
+  const [first, second, third, fourth] = rows
+  if (first !== undefined) first.ejectedUntil = fleet.now + 1_000
+  if (second !== undefined) second.coldUntil = fleet.now + 1_000
+  found.withoutEjectedAndCold = homes()
+  for (const row of [third, fourth]) if (row !== undefined) row.ejectedUntil = fleet.now + 1_000
+  found.noneSound = homes()
+  t.matchSnapshot(found)
+  t.same(findHomeServers(tables, { service: toId('s'), allowedRegions: [toId('m')] }, fleet.now), [], 'none where the service may not run')
+})
+
 t.test('objects are forgotten by number and by time', async t => {
   const tables = createAffinityTables()
   for (let object = 0; object < 5; object += 1) noteObject(tables, 'server', `o${object}`, 3, object)
--- /dev/null
+++ b/src/entry/readiness.spec.ts
@@ -0,0 +1,41 @@
+import t from 'tap'
+import { toId } from '../core/id.js'
+import { loanEnd } from '../admission/allowanceBucket.js'
+import type { Plan } from '../plan/types.js'
+import { ConfigurationBuilder, ordinaryTerms } from '../stand-ins/configurationBuilder.js'
+import { VirtualEntry } from '../stand-ins/virtualEntry.js'
+import { VirtualFleet } from '../stand-ins/virtualFleet.js'
+import { placesOver } from '../stand-ins/virtualPlaces.js'
+import { isReady } from './readiness.js'
+
+const plan: Plan = {
+  version: 1,
+  terms: ordinaryTerms,
+  routes: [],
+  services: [{ service: toId('s'), healthPath: '/health', connections: 100, warmup: { coldMs: 0, ratePerS: 100 } }],
+  workspaces: [],
+  document: null
+}
+
+t.test('a host is ready once it has a configuration, a server in service and allowances that earn', async t => {
+  const fleet = new VirtualFleet(1)
+  const [place] = placesOver(['n'], 1, 1)
+  if (place === undefined) throw new Error('no place')
+  const entry = new VirtualEntry(fleet, [place], new ConfigurationBuilder().run({ kind: 'put-plan', plan }).snapshot())
+  const startedAt = fleet.now
+  const readyNow = (): boolean => isReady(entry.tables(place.host), fleet.now)
+  entry.addServer('s', 'one', 'n1', 6, 20)
+  fleet.runUntil(loanEnd(startedAt) - 1)
+  const beforeLoansEnd = readyNow()
+  fleet.runUntil(loanEnd(startedAt) + 1)
+  const after = readyNow()
+  entry.leave('one')
+  fleet.runFor(2_000)
+  const withoutServer = readyNow()
+  entry.addServer('s', 'two', 'n1', 6, 20)
+  fleet.runFor(2_000)
+  const withAnother = readyNow()
+  fleet.push(toId(place.host), { kind: 'stop' })
+  fleet.runFor(10)
+  t.matchSnapshot({ beforeLoansEnd, after, withoutServer, withAnother, leaving: readyNow() })
+})
--- a/src/entry/readiness.ts
+++ b/src/entry/readiness.ts
@@ -1,7 +1,21 @@
 /** Whether an entry host can serve callers. */
 
+import { loanEnd } from '../admission/allowanceBucket.js'
+import { findOutage } from '../backend-choice/candidates.js'
+import type { Millis } from '../core/tick.js'
 import type { EntryTables } from './types.js'
 
-/** Ready with a confirmed configuration and some backend server heard of, until it begins to leave. */
-export const isReady = ({ lifecycle, gossip, configuration, backends }: EntryTables): boolean =>
-  lifecycle.phase === 'serving' && gossip.confirmedAt !== null && configuration.services.size > 0 && backends.size > 0
+const hasServer = (tables: EntryTables): boolean => {
+  for (const row of tables.backends.rows()) {
+    if (findOutage(tables, row) === null) return true
+  }
+  return false
+}
+
+/** Ready with a confirmed configuration, a backend server in service and allowances that earn, until it begins to leave. */
+export const isReady = (tables: EntryTables, now: Millis): boolean => {
+  const { lifecycle, gossip, configuration, homeHistory } = tables
+  if (lifecycle.phase !== 'serving' || gossip.confirmedAt === null || configuration.services.size === 0) return false
+  // Before that it would refuse nearly every call as over its rate.
+  return now >= loanEnd(homeHistory.startedAt) && hasServer(tables)
+}
--- a/src/exchange/refusal.ts
+++ b/src/exchange/refusal.ts
@@ -19,7 +19,7 @@
   'key-missing': { status: 401, ran: 'not-run', retryAfterMs: null },
   'key-unknown': { status: 401, ran: 'not-run', retryAfterMs: null },
   'key-withdrawn': { status: 401, ran: 'not-run', retryAfterMs: null },
-  'configuration-not-loaded': { status: 503, ran: 'not-run', retryAfterMs: 500 },
+  'configuration-not-loaded': { status: 503, ran: 'not-run', retryAfterMs: 1_500 },
   'configuration-stale': { status: 503, ran: 'not-run', retryAfterMs: 1_000 },
   'over-rate': { status: 429, ran: 'not-run', retryAfterMs: 1_000 },
   'queue-full': { status: 503, ran: 'not-run', retryAfterMs: 500 },
--- a/tap-snapshots/platform/providerDialect.spec.ts.test.cjs
+++ b/tap-snapshots/platform/providerDialect.spec.ts.test.cjs
@@ -19,7 +19,7 @@
   },
   "notLoaded": Object {
     "body": "{\\"error\\":{\\"reason\\":\\"configuration-not-loaded\\",\\"ran\\":\\"not-run\\"}}",
-    "retry-after": "0.500",
+    "retry-after": "1.500",
     "status": 503,
     "x-attempt-id": "a1",
   },
--- a/tap-snapshots/src/affinity/affinity.spec.ts.test.cjs
+++ b/tap-snapshots/src/affinity/affinity.spec.ts.test.cjs
@@ -29,3 +29,24 @@
   },
 }
 `
+
+exports[`src/affinity/affinity.spec.ts > TAP > objects have their homes on servers in full service, and on any that are up where there are none > must match snapshot 1`] = `
+Object {
+  "all": Array [
+    "a",
+    "b",
+    "c",
+    "d",
+  ],
+  "noneSound": Array [
+    "a",
+    "b",
+    "c",
+    "d",
+  ],
+  "withoutEjectedAndCold": Array [
+    "c",
+    "d",
+  ],
+}
+`
