--- a/src/affinity/affinity.spec.ts
+++ b/src/affinity/affinity.spec.ts
@@ -127,4 +127,6 @@
   for (let object = 0; object < 5; object += 1) noteObject(tables, 'server', `o${object}`, 3, object)
   t.same([hasObject(tables, 'server', 'o1', 5), hasObject(tables, 'server', 'o2', 5)], [false, true])
   t.notOk(hasObject(tables, 'server', 'o2', OBJECT_SPAN + 2), 'an object that nobody asked for is forgotten')
+  noteObject(tables, 'another', 'o1', 3, OBJECT_SPAN + 4)
+  t.same([...tables.recentObjects.rows()].map(row => row.key), ['another'], 'and so is a server that nothing is sent to')
 })
--- a/src/affinity/recentObjects.ts
+++ b/src/affinity/recentObjects.ts
@@ -19,13 +19,22 @@
   }
 }
 
+// Servers come and go under new names; what nobody sends to any more is dropped when another one is met.
+const dropForgotten = (tables: AffinityTables, now: Millis): void => {
+  for (const row of [...tables.recentObjects.rows()]) {
+    if (now - row.seenAt >= OBJECT_SPAN) tables.recentObjects.remove(row.key)
+  }
+}
+
 /** Notes that an object was seen; of more than the most, those seen longest ago are forgotten. */
 export const noteObject = (tables: AffinityTables, key: string, object: string, most: number, now: Millis): void => {
   let row = tables.recentObjects.get(key)
   if (row === undefined) {
-    row = { key, objects: new Map() }
+    dropForgotten(tables, now)
+    row = { key, objects: new Map(), seenAt: now }
     tables.recentObjects.put(row)
   }
+  row.seenAt = now
   row.objects.delete(object)
   row.objects.set(object, now)
   dropOld(row, most, now)
--- a/src/affinity/types.ts
+++ b/src/affinity/types.ts
@@ -9,6 +9,8 @@
   readonly key: string
   /** When each object was last seen, the one seen longest ago first. */
   readonly objects: Map<string, Millis>
+  /** When the latest of them was seen. */
+  seenAt: Millis
 }
 
 /** Tables of objects. */
