Choice of the server judges each candidate's warmth once

Found when the whole change was read again: the warmth of each candidate was looked up twice for each request, once to leave strangers out and once for the cost; and the types of work times named tables that they do not read. Behaviour is the same.

--- a/src/backend-choice/backendChoice.ts
+++ b/src/backend-choice/backendChoice.ts
@@ -52,9 +52,10 @@
     let least = Number.POSITIVE_INFINITY
     for (const row of input.candidates) {
       // An object that wanders makes servers forget those they know, and each of them takes several times longer.
-      if (input.isParticular && input.warmthAt(row) === 'none') continue
+      const warmth = input.warmthAt(row)
+      if (input.isParticular && warmth === 'none') continue
       // A random part breaks ties, so that hosts with the same view do not all pick the same server.
-      const cost = this.#cost(input, row) + input.random.unit()
+      const cost = this.#cost(input, row, warmth) + input.random.unit()
       if (cost >= least) continue
       least = cost
       best = row
@@ -62,9 +63,9 @@
     return best
   }
 
-  #cost (input: ChoiceInput, row: BackendRow): Millis {
+  #cost (input: ChoiceInput, row: BackendRow, warmth: Warmth): Millis {
     const { work, now } = input
-    return this.#distance(input, row) + expectedWait(row, work.meanMs, now) * WAIT_WEIGHT + expectedWork(row, work, input.warmthAt(row), now) + load(row)
+    return this.#distance(input, row) + expectedWait(row, work.meanMs, now) * WAIT_WEIGHT + expectedWork(row, work, warmth, now) + load(row)
   }
 
   #distance (input: ChoiceInput, row: BackendRow): Millis {
--- a/src/exchange/workTime.ts
+++ b/src/exchange/workTime.ts
@@ -1,12 +1,11 @@
 /** How long requests take at backend servers, learned from their answers. */
 
-import type { AffinityTables } from '../affinity/types.js'
 import type { BackendRow } from '../announcement/types.js'
 import type { WorkEstimate } from '../backend-choice/types.js'
 import type { Millis } from '../core/tick.js'
 import type { ExchangeRow, ExchangeTables, WorkTimeRow } from './types.js'
 
-type WorkTables = Pick<ExchangeTables, 'workTimes'> & AffinityTables
+type WorkTables = Pick<ExchangeTables, 'workTimes'>
 
 /** Weight of one more answer. */
 const FOLLOW = 0.05
