--- a/src/admission/admissionSystem.ts
+++ b/src/admission/admissionSystem.ts
@@ -32,8 +32,8 @@
     row = createAllowance(workspace.workspace, now)
     tables.allowances.put(row)
   }
-  const part = tables.parts.partOf(tables, workspace, tables.gossip.self.host)
-  resize(row, workspace.rate * part, workspace.burst * part, now)
+  const { rate, burst } = tables.parts.allowanceOf(tables, workspace, tables.gossip.self.host)
+  resize(row, rate, burst, now)
   return row
 }
 
--- a/src/admission/allowanceParts.ts
+++ b/src/admission/allowanceParts.ts
@@ -12,6 +12,9 @@
 
 type PartTables = Pick<MembershipTables, 'members'> & { readonly configuration: Configuration }
 
+/** A host's own part of a workspace's rate and burst. */
+export interface Allowance { readonly rate: number, readonly burst: number }
+
 interface Division { readonly rate: number, readonly parts: ReadonlyMap<HostId, number> }
 
 // All known hosts count, dead ones too: they may be back with their part at any moment.
@@ -56,6 +59,12 @@
     return division.parts.get(host) ?? 0
   }
 
+  /** What a host may grant of a workspace's allowance on its own: requests a second, and at once. */
+  allowanceOf (tables: PartTables, workspace: Workspace, host: HostId): Allowance {
+    const part = this.partOf(tables, workspace, host)
+    return { rate: workspace.rate * part, burst: workspace.burst * part }
+  }
+
   #refresh (tables: PartTables): void {
     if (tables.members.revision === this.#revision) return
     this.#revision = tables.members.revision
--- a/src/admission/allowancePolicy.ts
+++ b/src/admission/allowancePolicy.ts
@@ -4,6 +4,7 @@
 import type { Millis, Tick } from '../core/tick.js'
 import type { LookupTables } from '../lookup/lookupSystem.js'
 import type { Member, MessageSent } from '../membership/types.js'
+import type { Allowance } from './allowanceParts.js'
 import { LOAN, refill, spendable, takeSettlementsFor } from './allowanceBucket.js'
 import type { AdmissionTables, AllowanceMessage, AllowanceRow, Lender } from './types.js'
 
@@ -38,11 +39,9 @@
 /** Hosts asked in one round. */
 const MOST_LENDERS = 32
 
-const partAt = (tables: AllowanceTables, row: AllowanceRow, host: HostId): { rate: number, burst: number } => {
+const partAt = (tables: AllowanceTables, row: AllowanceRow, host: HostId): Allowance => {
   const workspace = tables.configuration.workspaces.get(row.workspace)
-  if (workspace === undefined) return { rate: 0, burst: 0 }
-  const part = tables.parts.partOf(tables, workspace, host)
-  return { rate: workspace.rate * part, burst: workspace.burst * part }
+  return workspace === undefined ? { rate: 0, burst: 0 } : tables.parts.allowanceOf(tables, workspace, host)
 }
 
 const MS_PER_SECOND = 1_000
