--- /dev/null
+++ b/src/front-end/answerRelay.ts
@@ -0,0 +1,45 @@
+/** Hands a backend server's answer to the caller: a small one at once, a long one as it comes. */
+
+import type { ServerResponse } from 'node:http'
+import { Readable } from 'node:stream'
+import { pipeline } from 'node:stream/promises'
+import type { AttemptResult } from '../exchange/types.js'
+import { AnswerKeeper } from './answerKeeper.js'
+import { mayHaveBody } from './attemptClient.js'
+import type { AttemptAnswer } from './attemptClient.js'
+
+/** Headers of an answer to a caller. */
+export type AnswerHeaders = Record<string, string | string[]>
+
+const writeWhole = async (response: ServerResponse, { statusCode, endsWithConnection }: AttemptAnswer, headers: AnswerHeaders, body: Buffer): Promise<void> => {
+  if (headers['content-length'] === undefined && mayHaveBody(statusCode) && !endsWithConnection) headers['content-length'] = String(body.length)
+  await new Promise<void>((resolve, reject) => {
+    response.once('finish', resolve)
+    response.once('close', () => { reject(new Error('caller has gone')) })
+    response.writeHead(statusCode, headers)
+    response.end(body)
+  })
+}
+
+/** Relays an answer to its end; the outcome holds the answer where it is to be kept. An answer that breaks off closes the connection. */
+export const relayAnswer = async (response: ServerResponse, answer: AttemptAnswer, headers: AnswerHeaders, keepsAnswer: boolean): Promise<AttemptResult> => {
+  // A length of our own would vouch for what the server never promised.
+  if (answer.endsWithConnection) {
+    headers.connection = 'close'
+    response.useChunkedEncodingByDefault = false
+  }
+  const keeper = new AnswerKeeper(keepsAnswer)
+  try {
+    if (answer.body instanceof Readable) {
+      response.writeHead(answer.statusCode, headers)
+      await pipeline(answer.body, keeper.tap.bind(keeper), response)
+    } else {
+      keeper.take(answer.body)
+      await writeWhole(response, answer, headers, answer.body)
+    }
+    return { kind: 'complete', answer: keeper.finish(answer.statusCode, headers) }
+  } catch (error) {
+    response.destroy()
+    return { kind: 'cut', reason: error instanceof Error ? error.message : 'cut' }
+  }
+}
--- a/src/front-end/callerServer.ts
+++ b/src/front-end/callerServer.ts
@@ -3,7 +3,6 @@
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import { Readable } from 'node:stream'
-import { pipeline } from 'node:stream/promises'
 import type { Socket } from 'node:net'
 import { toId } from '../core/id.js'
 import type { AttemptId, ExchangeId } from '../core/id.js'
@@ -14,12 +13,12 @@
 import { parseTicket } from '../idempotency/recordHomes.js'
 import type { AnswerReplayed } from '../idempotency/types.js'
 import { listenOn } from '../process/listen.js'
-import { AnswerKeeper } from './answerKeeper.js'
+import { relayAnswer } from './answerRelay.js'
 import type { Address } from '../core/address.js'
 import type { Metrics } from '../observability/metrics.js'
 import { endSpan } from '../observability/tracing.js'
 import type { RequestTrace, Tracing } from '../observability/tracing.js'
-import { AttemptClient, classifyFailure, discardAnswer, mayHaveBody } from './attemptClient.js'
+import { AttemptClient, classifyFailure, discardAnswer } from './attemptClient.js'
 import type { AttemptAnswer, AttemptRequest, RunningAttempt } from './attemptClient.js'
 import type { CallerDialect, CallerQuestion, CallerRequest } from './callerDialect.js'
 import { sendJson } from './jsonBody.js'
@@ -46,7 +45,7 @@
   readonly isLeaving: () => boolean
 }
 
-type HopSpan = ReturnType<Tracing['startHop']> | null
+type HopSpan = ReturnType<Tracing['startAttempt']> | null
 
 interface Exchange {
   readonly exchange: ExchangeId
@@ -208,7 +207,7 @@
   #start (row: AttemptStarted): void {
     const exchange = this.#exchanges.get(row.exchange)
     if (exchange === undefined) return
-    const span = this.#startSpans(exchange, row)
+    const span = exchange.trace === null ? null : this.options.tracing?.startAttempt(exchange.trace, row) ?? null
     const sent = this.#client.send(this.#toAttempt(exchange, row, span))
     exchange.running = { attempt: row.attempt, sent, answer: null, keepsAnswer: row.keepsAnswer }
     sent.answer.then(
@@ -252,16 +251,6 @@
     this.options.push({ kind: 'attempt', exchange: row.exchange, attempt: row.attempt, result })
   }
 
-  #startSpans (exchange: Exchange, row: AttemptStarted): HopSpan {
-    const { tracing } = this.options
-    if (tracing === null || exchange.trace === null) return null
-    const now = Date.now()
-    const admittedAt = now - row.queueMs
-    tracing.startHop(exchange.trace, 'admission', {}, admittedAt - row.admissionMs).end(admittedAt)
-    tracing.startHop(exchange.trace, 'choice', { backend: row.backend }, admittedAt).end(now)
-    return tracing.startHop(exchange.trace, 'attempt', { backend: row.backend, attempt: row.attempt })
-  }
-
   #relay (id: ExchangeId, attempt: AttemptId): void {
     const exchange = this.#exchanges.get(id)
     const answer = exchange?.running?.attempt === attempt ? exchange.running.answer : null
@@ -270,31 +259,9 @@
   }
 
   async #stream (exchange: Exchange, attempt: AttemptId, answer: AttemptAnswer): Promise<void> {
-    const { response } = exchange
     const headers = this.options.dialect.answerHeaders(answer.headers)
     if (this.options.isLeaving()) headers.connection = 'close'
-    // A length of our own would vouch for what the server never promised.
-    if (answer.endsWithConnection) {
-      headers.connection = 'close'
-      response.useChunkedEncodingByDefault = false
-    }
-    const keeper = new AnswerKeeper(exchange.running?.keepsAnswer === true)
-    try {
-      if (answer.body instanceof Readable) {
-        response.writeHead(answer.statusCode, headers)
-        await pipeline(answer.body, keeper.tap.bind(keeper), response)
-      } else {
-        keeper.take(answer.body)
-        await writeWhole(response, answer, headers, answer.body)
-      }
-      this.#reportEnd(exchange, attempt, { kind: 'complete', answer: keeper.finish(answer.statusCode, headers) })
-    } catch (error) {
-      response.destroy()
-      this.#reportEnd(exchange, attempt, { kind: 'cut', reason: error instanceof Error ? error.message : 'cut' })
-    }
-  }
-
-  #reportEnd (exchange: Exchange, attempt: AttemptId, result: AttemptResult): void {
+    const result = await relayAnswer(exchange.response, answer, headers, exchange.running?.keepsAnswer === true)
     this.options.push({ kind: 'attempt', exchange: exchange.exchange, attempt, result })
   }
 
@@ -323,16 +290,6 @@
   }
 }
 
-const writeWhole = async (response: ServerResponse, { statusCode, endsWithConnection }: AttemptAnswer, headers: Record<string, string | string[]>, body: Buffer): Promise<void> => {
-  if (headers['content-length'] === undefined && mayHaveBody(statusCode) && !endsWithConnection) headers['content-length'] = String(body.length)
-  await new Promise<void>((resolve, reject) => {
-    response.once('finish', resolve)
-    response.once('close', () => { reject(new Error('caller has gone')) })
-    response.writeHead(statusCode, headers)
-    response.end(body)
-  })
-}
-
 const ticketAge = (idempotencyKey: string): number | null => {
   const ticket = parseTicket(idempotencyKey)
   return ticket === null ? null : Math.max(0, Date.now() - ticket.issuedAt)
--- a/src/observability/tracing.ts
+++ b/src/observability/tracing.ts
@@ -24,6 +24,9 @@
   readonly context: Context
 }
 
+/** What a span tells of an attempt, with the times before it in milliseconds. */
+export interface TracedAttempt { readonly attempt: string, readonly backend: string, readonly admissionMs: number, readonly queueMs: number }
+
 /** Makes spans; a process without an endpoint has none of these. */
 export class Tracing {
   readonly #provider: BasicTracerProvider
@@ -48,6 +51,15 @@
     return this.#provider.getTracer('rhubarbseam').startSpan(name, { kind: SpanKind.INTERNAL, attributes, startTime }, request.context)
   }
 
+  /** Starts the span of an attempt, after those of the admission and the choice that led to it. */
+  startAttempt (trace: RequestTrace, { attempt, backend, admissionMs, queueMs }: TracedAttempt): Span {
+    const now = Date.now()
+    const admittedAt = now - queueMs
+    this.startHop(trace, 'admission', {}, admittedAt - admissionMs).end(admittedAt)
+    this.startHop(trace, 'choice', { backend }, admittedAt).end(now)
+    return this.startHop(trace, 'attempt', { backend, attempt })
+  }
+
   /** Writes the W3C headers of a hop for the backend server. */
   inject (request: RequestTrace, span: Span, headers: Record<string, string | string[]>): void {
     propagator.inject(trace.setSpan(request.context, span), headers, { set: (carrier, key, value) => { carrier[key] = value } })
