What servers say of their load counts for three seconds and nearly whole

A host sends a server two or three requests a second, but forgot within a second what that server had said of its load and took each word for a third only, so queues looked shorter than they were. Two replays with bounds that fail on the code before.

--- a/src/affinity/deskLoad.spec.ts
+++ b/src/affinity/deskLoad.spec.ts
@@ -22,6 +22,21 @@
   t.ok(baseline.all < outcome.all, `two choices: ${describe(baseline)}`)
 })
 
+t.test('a zone with a quarter of the servers leaves at twice the ordinary load', async t => {
+  const trouble: Parameters<typeof playDesk>[0]['trouble'] = servers => {
+    for (const server of servers) {
+      if (server.announcement.zone === 's2') server.announcement = { ...server.announcement, state: 'draining' }
+    }
+  }
+  const outcome = playDesk({ load: 2, warmUpMs: WARM_UP_MS, measuredMs: 9_000, trouble })
+  t.ok(outcome.all >= 0.75, `three quarters of the worth are earned: ${describe(outcome)}`)
+})
+
+t.test('a load beyond what all servers together can do is turned away, not answered late', async t => {
+  const outcome = playDesk({ load: 3.2, warmUpMs: WARM_UP_MS, measuredMs: 8_000 })
+  t.ok(outcome.all >= 0.7, `most of what fits is earned: ${describe(outcome)}`)
+})
+
 t.test('two servers in five turn twelve times slower', async t => {
   const trouble: Parameters<typeof playDesk>[0]['trouble'] = servers => {
     for (const [number, server] of servers.entries()) server.slowness = number % 5 < 2 ? 12 : 1
--- a/src/backend-choice/candidates.ts
+++ b/src/backend-choice/candidates.ts
@@ -38,7 +38,7 @@
 }
 
 /** What answers said of the load loses its meaning over this time. */
-const LOAD_MEMORY: Millis = 1_000
+const LOAD_MEMORY: Millis = 3_000
 
 /** Requests that are likely to be at a server, its queue included. */
 export const busyAt = (row: BackendRow, now: Millis): number =>
--- a/src/exchange/attemptSystem.ts
+++ b/src/exchange/attemptSystem.ts
@@ -55,8 +55,9 @@
 /** The first status of a server's own failure. */
 const SERVER_ERROR = 500
 /** How fast the estimate of others' load follows what answers say. */
-const LOAD_FOLLOW: Millis = 300
-const SMALLEST_FOLLOW = 0.3
+const LOAD_FOLLOW: Millis = 100
+/** Least weight of one more answer: one from a moment ago says nearly the same. */
+const SMALLEST_FOLLOW = 0.6
 
 // The load that a server tells holds this host's own requests too.
 const noteLoad = (tick: AttemptTick, exchange: ExchangeRow, load: ReportedLoad): void => {
