The fleet of the process tests waits for its leader before the first command

An operator's call goes on for ten seconds; with the processors taken 16 processes needed longer to start. Change: the stand-in looks for a leader first. fleet.spec beside the same load: passes.

--- a/src/stand-ins/fleet.ts
+++ b/src/stand-ins/fleet.ts
@@ -60,6 +60,10 @@
   })
 })
 
+/** Calls by which a fleet that starts looks for its leader. */
+const START_ATTEMPTS = 100
+const START_PAUSE_MS = 200
+
 interface Place { readonly address: string, readonly ports: Record<string, number> }
 
 /** A fleet whose processes this one has started, and only those it ends. */
@@ -74,7 +78,7 @@
 
   constructor (readonly options: FleetOptions, readonly dist = resolve('dist')) {}
 
-  /** Starts every process; the caller waits for `ready`. */
+  /** Starts every process and waits for a leader; the caller waits for `ready`. */
   async start (): Promise<void> {
     this.#writeSecrets()
     const controlPlaces = await this.#places(this.options.controlZones.map(zone => `control-${zone}`), ['link', 'operators'], 1)
@@ -84,6 +88,16 @@
     for (const [host, place] of controlPlaces) this.#startControl(host, place, seeds)
     for (const [host, place] of entryPlaces) this.#startEntry(host, place, seeds)
     await this.#startBackends()
+    await this.#untilLed()
+  }
+
+  // On a machine that is busy with other things the processes take longer to start than an operator's call goes on trying.
+  async #untilLed (): Promise<void> {
+    for (let attempt = 0; attempt < START_ATTEMPTS; attempt += 1) {
+      const answer = await callControl(this.target('operator'), 'GET', '/v1/status', undefined, secret())
+      if (answer.tag === 'ok' && (answer.value as { isCurrent: boolean }).isCurrent) return
+      await new Promise(resolve => setTimeout(resolve, START_PAUSE_MS))
+    }
   }
 
   /** Calls the control hosts as one of the operators. */
