--- a/src/front-end/attemptClient.spec.ts
+++ b/src/front-end/attemptClient.spec.ts
@@ -18,7 +18,7 @@
 
 const send = async (client: AttemptClient, origin: string, changes: Partial<AttemptRequest> = {}): Promise<unknown> => {
   try {
-    const answer = await client.send({ origin, path: '/', method: 'GET', headers: {}, body: null, isSafeToLose: true, timeoutMs: 1_000, ...changes }).answer
+    const answer = await client.send({ origin, path: '/', method: 'GET', headers: {}, body: null, isIdempotent: true, timeoutMs: 1_000, ...changes }).response
     return { status: answer.statusCode, body: String(answer.body) }
   } catch (error) {
     return classifyFailure(error)
@@ -63,9 +63,9 @@
   let noteClose: () => void = () => {}
   const closed = new Promise<void>(resolve => { noteClose = resolve })
   const origin = await serve(t, socket => { socket.on('close', noteClose) })
-  const sent = client.send({ origin, path: '/', method: 'GET', headers: {}, body: null, isSafeToLose: true, timeoutMs: 5_000 })
+  const sent = client.send({ origin, path: '/', method: 'GET', headers: {}, body: null, isIdempotent: true, timeoutMs: 5_000 })
   setTimeout(() => { sent.abort() }, 50)
-  await t.rejects(sent.answer)
+  await t.rejects(sent.response)
   await closed
   t.pass('the server sees the end')
 })
--- a/src/front-end/attemptClient.ts
+++ b/src/front-end/attemptClient.ts
@@ -31,23 +31,23 @@
   readonly method: string
   readonly headers: Record<string, string | string[]>
   readonly body: Buffer | Readable | null
-  readonly isSafeToLose: boolean
+  readonly isIdempotent: boolean
   readonly timeoutMs: number
 }
 
 /** An answer: a small one in whole, a large one as it flows. */
-export interface AttemptAnswer {
+export interface BackendResponse {
   readonly statusCode: number
   readonly headers: IncomingHttpHeaders
   /** Whether only the end of its connection says that it is complete, so that nobody can tell a whole answer from a cut one. */
-  readonly endsWithConnection: boolean
+  readonly isCloseDelimited: boolean
   readonly body: Buffer | Readable
 }
 
 /** An attempt under way. */
 export interface RunningAttempt {
   /** Rejects when there is no answer. */
-  readonly answer: Promise<AttemptAnswer>
+  readonly response: Promise<BackendResponse>
   /** Gives up on it; its connection is closed. */
   abort (): void
 }
@@ -64,7 +64,7 @@
 }
 
 /** Throws an answer away; what has not arrived yet closes its connection. */
-export const discardAnswer = (answer: AttemptAnswer): void => {
+export const discardResponse = (answer: BackendResponse): void => {
   if (answer.body instanceof Readable) answer.body.destroy()
 }
 
@@ -127,8 +127,8 @@
 
 /** Takes one answer in, whole if it is small. */
 class AnswerReader implements Dispatcher.DispatchHandlers {
-  readonly answer: Promise<AttemptAnswer>
-  #settle: { resolve (answer: AttemptAnswer): void, reject (error: Error): void } = { resolve: () => {}, reject: () => {} }
+  readonly answer: Promise<BackendResponse>
+  #settle: { resolve (answer: BackendResponse): void, reject (error: Error): void } = { resolve: () => {}, reject: () => {} }
   #abort: ((error?: Error) => void) | null = null
   #ending: Error | null = null
   #statusCode = 0
@@ -188,9 +188,9 @@
     else this.#settle.reject(error)
   }
 
-  #answerWith (body: Buffer | Readable): AttemptAnswer {
+  #answerWith (body: Buffer | Readable): BackendResponse {
     const endsWithConnection = !hasLength(this.#headers) && mayHaveBody(this.#statusCode)
-    return { statusCode: this.#statusCode, headers: this.#headers, endsWithConnection, body }
+    return { statusCode: this.#statusCode, headers: this.#headers, isCloseDelimited: endsWithConnection, body }
   }
 
   // From here on the caller's pace decides how fast the server is read.
@@ -214,7 +214,7 @@
 
   /** Sends a request; an answer that flows must be read to its end or discarded. */
   send (request: AttemptRequest): RunningAttempt {
-    const { origin, path, method, headers, body, isSafeToLose, timeoutMs } = request
+    const { origin, path, method, headers, body, isIdempotent: isSafeToLose, timeoutMs } = request
     // The client's own timers are too coarse for a deadline.
     const reader = new AnswerReader(timeoutMs, origin, this.#watch)
     const agent = isSafeToLose ? this.#safe : this.#unsafe
@@ -223,7 +223,7 @@
     } catch (error) {
       reader.onError(error as Error)
     }
-    return { answer: reader.answer, abort: () => { reader.end(new AttemptEnd('ABORTED')) } }
+    return { response: reader.answer, abort: () => { reader.end(new AttemptEnd('ABORTED')) } }
   }
 
   async close (): Promise<void> {
--- a/src/front-end/callerHeaders.ts
+++ b/src/front-end/callerHeaders.ts
@@ -43,7 +43,7 @@
 }
 
 /** Headers that concern more than one connection, without those that are named. */
-export const forwardEndToEnd = (headers: IncomingHttpHeaders, left: ReadonlySet<string>): Record<string, string | string[]> => {
+export const forwardEndToEndHeaders = (headers: IncomingHttpHeaders, left: ReadonlySet<string>): Record<string, string | string[]> => {
   const dropped = headers.connection === undefined ? left : namedByConnection(headers)
   const forwarded: Record<string, string | string[]> = {}
   for (const name in headers) {
@@ -55,7 +55,7 @@
 }
 
 /** Headers of an answer as they go back to the caller. */
-export const forwardAnswerHeaders = (headers: IncomingHttpHeaders): Record<string, string | string[]> => {
+export const forwardResponseHeaders = (headers: IncomingHttpHeaders): Record<string, string | string[]> => {
   const dropped = namedByConnection(headers)
   const forwarded: Record<string, string | string[]> = {}
   for (const [name, value] of Object.entries(headers)) {
@@ -66,11 +66,11 @@
 }
 
 /** A header that came once and is not empty; null otherwise. */
-export const textOf = (value: string | string[] | undefined): string | null =>
+export const singleValueOf = (value: string | string[] | undefined): string | null =>
   typeof value === 'string' && value !== '' ? value : null
 
 /** A number above 0; null for anything else. */
-export const positiveNumber = (text: string | null): number | null => {
+export const parsePositiveNumber = (text: string | null): number | null => {
   const value = Number(text)
   return text === null || !Number.isFinite(value) || value <= 0 ? null : value
 }
--- a/src/front-end/callerDialect.ts
+++ b/src/front-end/callerProtocol.ts
@@ -21,30 +21,30 @@
 }
 
 /** What a caller asks for. */
-export type CallerQuestion =
+export type ParsedRequest =
   | CallerRequest
   | { readonly kind: 'lookup', readonly question: Pick<LookupReceived, 'service' | 'client' | 'place'> }
   | { readonly kind: 'malformed', readonly status: number, readonly reason: string }
 
 /** The head of a backend server's answer. */
-export interface AnswerHead { readonly statusCode: number, readonly headers: IncomingHttpHeaders }
+export interface ResponseHead { readonly statusCode: number, readonly headers: IncomingHttpHeaders }
 
 /** What an answer proves: that it is one, that the server did not run the request, or that it belongs to something else. */
-export type AnswerVerdict = 'answer' | 'shed' | 'misdirected' | 'stray'
+export type ResponseClass = 'answer' | 'shed' | 'misdirected' | 'stray'
 
 /** Headers as they are written. */
 export type HeaderFields = Record<string, string | string[]>
 
 /** One way to speak with callers and backend servers. */
-export interface CallerDialect {
-  read (request: IncomingMessage): CallerQuestion
+export interface CallerProtocol {
+  parseRequest (request: IncomingMessage): ParsedRequest
   /** Headers of an attempt; never with the caller's key. */
   attemptHeaders (request: IncomingMessage, question: CallerRequest, attempt: AttemptStarted): HeaderFields
-  judge (request: IncomingMessage, head: AnswerHead): AnswerVerdict
+  classifyResponse (request: IncomingMessage, head: ResponseHead): ResponseClass
   readLoad (headers: IncomingHttpHeaders): ReportedLoad | null
-  answerHeaders (headers: IncomingHttpHeaders): HeaderFields
+  responseHeaders (headers: IncomingHttpHeaders): HeaderFields
   /** Prepares an answer as soon as its request is known. */
-  announce (response: ServerResponse, exchange: string): void
+  prepareResponse (response: ServerResponse, exchange: string): void
   refuse (request: IncomingMessage, response: ServerResponse, refusal: Refused, closes: boolean): void
   answerLookup (response: ServerResponse, answer: LookupAnswered): void
 }
--- a/src/front-end/callerServer.ts
+++ b/src/front-end/callerServer.ts
@@ -13,17 +13,17 @@
 import { parseTicket } from '../idempotency/recordHomes.js'
 import type { AnswerReplayed } from '../idempotency/types.js'
 import { listenOn } from '../process/listen.js'
-import { relayAnswer } from './answerRelay.js'
+import { relayResponse } from './responseRelay.js'
 import type { Address } from '../core/address.js'
 import type { Metrics } from '../observability/metrics.js'
 import { endSpan } from '../observability/tracing.js'
 import type { RequestTrace, Tracing } from '../observability/tracing.js'
-import { AttemptClient, classifyFailure, discardAnswer } from './attemptClient.js'
-import type { AttemptAnswer, AttemptRequest, RunningAttempt } from './attemptClient.js'
-import type { CallerDialect, CallerQuestion, CallerRequest } from './callerDialect.js'
+import { AttemptClient, classifyFailure, discardResponse } from './attemptClient.js'
+import type { BackendResponse, AttemptRequest, RunningAttempt } from './attemptClient.js'
+import type { CallerProtocol, ParsedRequest, CallerRequest } from './callerProtocol.js'
 import { sendJson } from './jsonBody.js'
-import { LoopWatch } from './loopWatch.js'
-import { limitBody, takeBody } from './requestBody.js'
+import { EventLoopMonitor } from './eventLoopMonitor.js'
+import { limitBody, readBody } from './requestBody.js'
 import type { BodyLimits, RequestBody } from './requestBody.js'
 
 const HEADERS_TIMEOUT_MS = 5_000
@@ -36,7 +36,7 @@
 export interface CallerServerOptions {
   readonly host: string
   readonly listen: Address
-  readonly dialect: CallerDialect
+  readonly protocol: CallerProtocol
   readonly limits: BodyLimits & { readonly headerBytes: number, readonly connections: number }
   readonly metrics: Metrics
   readonly tracing: Tracing | null
@@ -57,14 +57,14 @@
   readonly body: RequestBody
   readonly trace: RequestTrace | null
   readonly startedAt: number
-  running: { attempt: AttemptId, sent: RunningAttempt, answer: AttemptAnswer | null, keepsAnswer: boolean } | null
+  running: { attempt: AttemptId, sent: RunningAttempt, answer: BackendResponse | null, keepsAnswer: boolean } | null
 }
 
 /** Serves callers over HTTP. */
 export class CallerServer {
   readonly #server: Server
   readonly #client = new AttemptClient()
-  readonly #loop = new LoopWatch()
+  readonly #loop = new EventLoopMonitor()
   readonly #exchanges = new Map<ExchangeId, Exchange>()
   readonly #lookups = new Map<LookupId, ServerResponse>()
   #count = 0
@@ -118,13 +118,13 @@
   }
 
   #route (request: IncomingMessage, response: ServerResponse): void {
-    const question = this.options.dialect.read(request)
+    const question = this.options.protocol.parseRequest(request)
     if (question.kind === 'lookup') this.#takeLookup(request, response, question)
     else if (question.kind === 'request') void this.#takeRequest(request, response, question)
     else sendJson(response, question.status, { error: { reason: question.reason, ran: 'not-run' } })
   }
 
-  #takeLookup (request: IncomingMessage, response: ServerResponse, { question }: Extract<CallerQuestion, { kind: 'lookup' }>): void {
+  #takeLookup (request: IncomingMessage, response: ServerResponse, { question }: Extract<ParsedRequest, { kind: 'lookup' }>): void {
     const lookup = toId<LookupId>(this.#nextId())
     this.#lookups.set(lookup, response)
     const trace = this.options.tracing?.startRequest('lookup', request.headers)
@@ -140,12 +140,12 @@
     if (response === undefined) return
     this.#lookups.delete(row.lookup)
     this.options.metrics.lookups.inc({ outcome: row.error?.kind ?? 'answered' })
-    this.options.dialect.answerLookup(response, row)
+    this.options.protocol.answerLookup(response, row)
   }
 
   async #takeRequest (request: IncomingMessage, response: ServerResponse, question: CallerRequest): Promise<void> {
     const exchange = this.#nameExchange(question)
-    const body = await takeBody(request, this.options.limits)
+    const body = await readBody(request, this.options.limits)
     if ('kind' in body) {
       if (body.kind === 'too-large') sendJson(response, 413, { error: { reason: 'body-too-large', ran: 'not-run' } }, true)
       return
@@ -156,7 +156,7 @@
     const trace = this.options.tracing?.startRequest(`request ${subject}`, request.headers) ?? null
     const row: Exchange = { exchange, subject, question, request, response, body, trace, startedAt: performance.now(), running: null }
     this.#exchanges.set(exchange, row)
-    this.options.dialect.announce(response, exchange)
+    this.options.protocol.prepareResponse(response, exchange)
     response.once('close', () => { this.#end(row) })
     const method = request.method ?? 'GET'
     this.options.push({
@@ -201,7 +201,7 @@
       return
     }
     const isBodyUnread = !exchange.request.complete
-    this.options.dialect.refuse(exchange.request, response, row, isBodyUnread || this.options.isLeaving())
+    this.options.protocol.refuse(exchange.request, response, row, isBodyUnread || this.options.isLeaving())
   }
 
   #start (row: AttemptStarted): void {
@@ -210,7 +210,7 @@
     const span = exchange.trace === null ? null : this.options.tracing?.startAttempt(exchange.trace, row) ?? null
     const sent = this.#client.send(this.#toAttempt(exchange, row, span))
     exchange.running = { attempt: row.attempt, sent, answer: null, keepsAnswer: row.keepsAnswer }
-    sent.answer.then(
+    sent.response.then(
       answer => { this.#takeAnswer(exchange, row, answer, span) },
       (error: unknown) => {
         const failure = classifyFailure(error)
@@ -222,7 +222,7 @@
 
   #toAttempt (exchange: Exchange, row: AttemptStarted, span: HopSpan): AttemptRequest {
     const { request, body, question, trace } = exchange
-    const headers = this.options.dialect.attemptHeaders(request, question, row)
+    const headers = this.options.protocol.attemptHeaders(request, question, row)
     if (trace !== null && span !== null) this.options.tracing?.inject(trace, span, headers)
     return {
       origin: `http://${row.target.address}:${row.target.port}`,
@@ -230,16 +230,16 @@
       method: request.method ?? 'GET',
       headers,
       body: body.buffered === null ? Readable.from(limitBody(request, this.options.limits.bodyBytes)) : (body.buffered.length === 0 ? null : body.buffered),
-      isSafeToLose: row.idempotent,
+      isIdempotent: row.idempotent,
       timeoutMs: row.timeoutMs
     }
   }
 
-  #takeAnswer (exchange: Exchange, row: AttemptStarted, answer: AttemptAnswer, span: HopSpan): void {
-    const { dialect } = this.options
-    const verdict = dialect.judge(exchange.request, answer)
+  #takeAnswer (exchange: Exchange, row: AttemptStarted, answer: BackendResponse, span: HopSpan): void {
+    const { protocol: dialect } = this.options
+    const verdict = dialect.classifyResponse(exchange.request, answer)
     if (verdict === 'answer' && exchange.running?.attempt === row.attempt) exchange.running.answer = answer
-    else discardAnswer(answer)
+    else discardResponse(answer)
     if (span !== null) endSpan(span, String(answer.statusCode), answer.statusCode >= 500)
     if (verdict === 'misdirected') this.#report(row, { kind: 'misdirected' })
     else if (verdict === 'stray') this.#report(row, { kind: 'lost', reason: 'STRAY_ANSWER' })
@@ -258,10 +258,10 @@
     void this.#stream(exchange, attempt, answer)
   }
 
-  async #stream (exchange: Exchange, attempt: AttemptId, answer: AttemptAnswer): Promise<void> {
-    const headers = this.options.dialect.answerHeaders(answer.headers)
+  async #stream (exchange: Exchange, attempt: AttemptId, answer: BackendResponse): Promise<void> {
+    const headers = this.options.protocol.responseHeaders(answer.headers)
     if (this.options.isLeaving()) headers.connection = 'close'
-    const result = await relayAnswer(exchange.response, answer, headers, exchange.running?.keepsAnswer === true)
+    const result = await relayResponse(exchange.response, answer, headers, exchange.running?.keepsAnswer === true)
     this.options.push({ kind: 'attempt', exchange: exchange.exchange, attempt, result })
   }
 
--- a/src/front-end/loopWatch.spec.ts
+++ b/src/front-end/eventLoopMonitor.spec.ts
@@ -1,5 +1,5 @@
 import t from 'tap'
-import { LoopWatch } from './loopWatch.js'
+import { EventLoopMonitor } from './eventLoopMonitor.js'
 
 const spin = (millis: number): void => {
   const end = performance.now() + millis
@@ -8,7 +8,7 @@
 
 t.test('a loop without rest is saturated, one that sleeps is not', async t => {
   await new Promise(resolve => setTimeout(resolve, 20))
-  const watch = new LoopWatch()
+  const watch = new EventLoopMonitor()
   await new Promise(resolve => setTimeout(resolve, 300))
   t.equal(watch.isSaturated(), false)
   for (let turn = 0; turn < 20; turn += 1) {
--- a/src/front-end/loopWatch.ts
+++ b/src/front-end/eventLoopMonitor.ts
@@ -9,7 +9,7 @@
 const MOST_BUSY = 0.95
 
 /** Measures the event loop when it is asked, never by a timer of its own. */
-export class LoopWatch {
+export class EventLoopMonitor {
   #from: EventLoopUtilization = performance.eventLoopUtilization()
   #measuredAt = performance.now()
   #isSaturated = false
--- a/src/front-end/jsonBody.ts
+++ b/src/front-end/jsonBody.ts
@@ -30,7 +30,7 @@
 }
 
 /** The first problem of a body that does not have its schema, with its path. */
-export const firstProblem = (error: z.ZodError): string => {
+export const firstIssue = (error: z.ZodError): string => {
   const issue = error.issues[0]
   return `${issue?.path.join('.') ?? ''}: ${issue?.message ?? ''}`
 }
--- a/src/front-end/lookupServer.ts
+++ b/src/front-end/lookupServer.ts
@@ -11,21 +11,21 @@
 import { listenOn } from '../process/listen.js'
 
 /** What a caller asks. */
-export type LookupQuestion =
+export type DirectoryRequest =
   | { readonly kind: 'readiness' }
   | { readonly kind: 'lookup', readonly place: Place }
   | { readonly kind: 'unknown' }
 
 /** One way to speak about look-ups. */
-export interface LookupDialect {
-  read (url: URL): LookupQuestion
+export interface LookupProtocol {
+  parseRequest (url: URL): DirectoryRequest
   /** The body that names hosts for a time, in milliseconds. */
-  answer (hosts: readonly RankedHost[], ttlMs: Millis): unknown
+  createBody (hosts: readonly RankedHost[], ttlMs: Millis): unknown
 }
 
 /** What look-ups need of their process. */
 export interface LookupContext {
-  readonly dialect: LookupDialect
+  readonly protocol: LookupProtocol
   readonly metrics: Metrics
   push (row: LookupReceived): void
   /** Whether callers may be sent here. */
@@ -56,7 +56,7 @@
     this.#open.delete(row.lookup)
     this.context.metrics.lookups.inc({ outcome: row.error?.kind ?? 'answered' })
     if (row.error !== null) sendJson(response, 503, { error: row.error.kind })
-    else sendJson(response, 200, this.context.dialect.answer(row.hosts, row.ttlMs))
+    else sendJson(response, 200, this.context.protocol.createBody(row.hosts, row.ttlMs))
   }
 
   close (): void {
@@ -68,7 +68,7 @@
 
   #route (request: IncomingMessage, response: ServerResponse): void {
     const url = parseUrl(request)
-    const question: LookupQuestion = url === null ? { kind: 'unknown' } : this.context.dialect.read(url)
+    const question: DirectoryRequest = url === null ? { kind: 'unknown' } : this.context.protocol.parseRequest(url)
     if (question.kind === 'readiness') this.#answerReady(response)
     else if (question.kind === 'lookup') this.#takeLookup(question.place, response)
     else sendJson(response, 404, { error: 'path-unknown' })
--- a/src/front-end/operatorServer.ts
+++ b/src/front-end/operatorServer.ts
@@ -12,7 +12,7 @@
 import type { ProposalAnswered, ProposalError } from '../replicated-log/types.js'
 import { listenOn } from '../process/listen.js'
 import { describeConfiguration, describeStatus } from './operatorViews.js'
-import { CallBook } from './callBook.js'
+import { PendingCalls } from './pendingCalls.js'
 import { readJson, sendJson } from './jsonBody.js'
 import { commandSchema } from './messageSchema.js'
 
@@ -54,7 +54,7 @@
 /** Serves operators over HTTP. */
 export class OperatorServer {
   readonly #server: Server
-  readonly #calls = new CallBook(ANSWER_TIMEOUT_MS, call => { this.deliver({ kind: 'proposal-answer', call, receipt: null, error: { kind: 'outcome-unknown' } }) })
+  readonly #calls = new PendingCalls(ANSWER_TIMEOUT_MS, call => { this.deliver({ kind: 'proposal-answer', call, receipt: null, error: { kind: 'outcome-unknown' } }) })
 
   constructor (readonly options: OperatorServerOptions) {
     this.#server = createServer((request, response) => { void this.#route(request, response) })
@@ -105,7 +105,7 @@
       return
     }
     const requestId = request.headers['request-id']
-    const call = this.#calls.open(response, '')
+    const call = this.#calls.add(response, '')
     this.options.push({
       kind: 'propose',
       call,
@@ -123,6 +123,6 @@
     const parsed = admitSchema.safeParse(await readJson(request, MAX_BODY_BYTES))
     if (!parsed.success) sendJson(response, 400, { error: { kind: 'command-malformed' } })
     else if (!operator.roles.includes('assign')) sendJson(response, 403, { error: { kind: 'role-missing', role: 'assign' } })
-    else this.options.push({ kind: 'admit', call: this.#calls.open(response, ''), host: toId<HostId>(parsed.data.host) })
+    else this.options.push({ kind: 'admit', call: this.#calls.add(response, ''), host: toId<HostId>(parsed.data.host) })
   }
 }
--- a/src/front-end/requestBody.ts
+++ b/src/front-end/requestBody.ts
@@ -38,7 +38,7 @@
 }
 
 /** Takes a body in, or leaves a large one to flow. */
-export const takeBody = async (request: IncomingMessage, limits: BodyLimits): Promise<RequestBody | BodyError> => {
+export const readBody = async (request: IncomingMessage, limits: BodyLimits): Promise<RequestBody | BodyError> => {
   const length = declaredLength(request)
   if (length === null && request.headers['transfer-encoding'] === undefined) return EMPTY
   if (length === 0) return EMPTY
--- a/src/front-end/serviceDialect.ts
+++ b/src/front-end/serviceProtocol.ts
@@ -7,8 +7,8 @@
 import { createTicket } from '../idempotency/recordHomes.js'
 import { parseAddress } from '../lookup/blockTable.js'
 import type { LookupAnswered } from '../lookup/types.js'
-import { findKey, forwardAnswerHeaders, forwardRequestHeaders, redactKey } from './callerHeaders.js'
-import type { AnswerHead, AnswerVerdict, CallerDialect, CallerQuestion, CallerRequest, HeaderFields } from './callerDialect.js'
+import { findKey, forwardResponseHeaders, forwardRequestHeaders, redactKey } from './callerHeaders.js'
+import type { ResponseHead, ResponseClass, CallerProtocol, ParsedRequest, CallerRequest, HeaderFields } from './callerProtocol.js'
 import { sendJson } from './jsonBody.js'
 
 const MS_PER_SECOND = 1_000
@@ -17,8 +17,8 @@
 const SERVICE_PATH = /^\/services\/([A-Za-z0-9][A-Za-z0-9._-]{0,127})(\/.*)$/
 
 /** Speaks the product's own interface. */
-export class ServiceDialect implements CallerDialect {
-  read (request: IncomingMessage): CallerQuestion {
+export class ServiceProtocol implements CallerProtocol {
+  parseRequest (request: IncomingMessage): ParsedRequest {
     const url = request.url ?? '/'
     const plain = url.split('?', 1)[0] ?? url
     if (plain === LOOKUP_PATH) return this.#readLookup(request, url)
@@ -39,7 +39,7 @@
     }
   }
 
-  #readLookup (request: IncomingMessage, url: string): CallerQuestion {
+  #readLookup (request: IncomingMessage, url: string): ParsedRequest {
     const service = new URL(url, 'http://localhost').searchParams.get('service')
     if (request.method !== 'GET' || service === null) return { kind: 'malformed', status: 400, reason: 'lookup-malformed' }
     return { kind: 'lookup', question: { service: toId<ServiceId>(service), client: parseAddress(request.socket.remoteAddress ?? ''), place: null } }
@@ -52,16 +52,16 @@
     return headers
   }
 
-  judge (_request: IncomingMessage, head: AnswerHead): AnswerVerdict {
+  classifyResponse (_request: IncomingMessage, head: ResponseHead): ResponseClass {
     const isShed = (head.statusCode === 503 || head.statusCode === 429) && head.headers['retry-after'] !== undefined
     return isShed ? 'shed' : 'answer'
   }
 
   readLoad (): null { return null }
 
-  answerHeaders (headers: IncomingHttpHeaders): HeaderFields { return forwardAnswerHeaders(headers) }
+  responseHeaders (headers: IncomingHttpHeaders): HeaderFields { return forwardResponseHeaders(headers) }
 
-  announce (response: ServerResponse, exchange: string): void { response.setHeader('rhubarbseam-exchange', exchange) }
+  prepareResponse (response: ServerResponse, exchange: string): void { response.setHeader('rhubarbseam-exchange', exchange) }
 
   refuse (_request: IncomingMessage, response: ServerResponse, refusal: Refused, closes: boolean): void {
     const { reason, ran, retryAfterMs, alternatives } = refusal
