--- a/tap-snapshots/platform/planCodec.spec.ts.test.cjs
+++ b/tap-snapshots/platform/planCodec.spec.ts.test.cjs
@@ -5,7 +5,7 @@
  * Make sure to inspect the output below.  Do not ignore changes!
  */
 'use strict'
-exports[`platform/planCodec.spec.ts > TAP > a configuration becomes a plan in the words of the product > must match snapshot 1`] = `
+exports[`platform/planCodec.spec.ts > TAP > a configuration document is decoded into a plan > must match snapshot 1`] = `
 Object {
   "document": 1035,
   "routes": Array [
@@ -83,7 +83,7 @@
 }
 `
 
-exports[`platform/planCodec.spec.ts > TAP > every kind of invalid configuration is refused with a reason > must match snapshot 1`] = `
+exports[`platform/planCodec.spec.ts > TAP > each kind of invalid configuration document is rejected with its reason > must match snapshot 1`] = `
 Object {
   "badVersion": Object {
     "kind": "unreadable",
--- a/tap-snapshots/platform/providerProtocol.spec.ts.test.cjs
+++ b/tap-snapshots/platform/providerProtocol.spec.ts.test.cjs
@@ -5,7 +5,7 @@
  * Make sure to inspect the output below.  Do not ignore changes!
  */
 'use strict'
-exports[`platform/providerProtocol.spec.ts > TAP > a refusal promises not to run only where that is certain > must match snapshot 1`] = `
+exports[`platform/providerProtocol.spec.ts > TAP > a refusal states that the request was not run only where that is certain > must match snapshot 1`] = `
 Object {
   "deadlineNotRun": Object {
     "body": "{\\"error\\":{\\"reason\\":\\"deadline\\",\\"ran\\":\\"not-run\\"}}",
@@ -53,7 +53,7 @@
 }
 `
 
-exports[`platform/providerProtocol.spec.ts > TAP > a request as it is read > must match snapshot 1`] = `
+exports[`platform/providerProtocol.spec.ts > TAP > a request is parsed > must match snapshot 1`] = `
 Object {
   "asterisk": Object {
     "kind": "malformed",
@@ -89,7 +89,7 @@
 }
 `
 
-exports[`platform/providerProtocol.spec.ts > TAP > headers of an attempt: no key, nothing that the caller may not set > must match snapshot 1`] = `
+exports[`platform/providerProtocol.spec.ts > TAP > headers of an attempt contain no key and no value that only the product may set > must match snapshot 1`] = `
 Object {
   "host": "Shop.Example:80",
   "x-attempt-id": "a1",
@@ -100,7 +100,7 @@
 }
 `
 
-exports[`platform/providerProtocol.spec.ts > TAP > what an answer proves > must match snapshot 1`] = `
+exports[`platform/providerProtocol.spec.ts > TAP > responses are classified > must match snapshot 1`] = `
 Object {
   "ofAnotherAttempt": "stray",
   "otherServer": "misdirected",
--- a/tap-snapshots/platform/providerSettings.spec.ts.test.cjs
+++ b/tap-snapshots/platform/providerSettings.spec.ts.test.cjs
@@ -5,7 +5,7 @@
  * Make sure to inspect the output below.  Do not ignore changes!
  */
 'use strict'
-exports[`platform/providerSettings.spec.ts > TAP > settings of both kinds of host, and files that cannot be used > must match snapshot 1`] = `
+exports[`platform/providerSettings.spec.ts > TAP > settings of entry and control hosts, and invalid files > must match snapshot 1`] = `
 Object {
   "control": Object {
     "tag": "ok",
--- a/tap-snapshots/platform/reportCodec.spec.ts.test.cjs
+++ b/tap-snapshots/platform/reportCodec.spec.ts.test.cjs
@@ -5,7 +5,7 @@
  * Make sure to inspect the output below.  Do not ignore changes!
  */
 'use strict'
-exports[`platform/reportCodec.spec.ts > TAP > reports in the words of the product, and refusals of what cannot be used > must match snapshot 1`] = `
+exports[`platform/reportCodec.spec.ts > TAP > valid reports are decoded into announcements, and invalid ones are rejected > must match snapshot 1`] = `
 Object {
   "addressWithoutPort": Object {
     "error": Object {
