--- a/src/front-end/callerProtocol.ts
+++ b/src/front-end/callerProtocol.ts
@@ -29,7 +29,7 @@
 /** Status and headers of a backend server's response. */
 export interface ResponseHead { readonly statusCode: number, readonly headers: IncomingHttpHeaders }
 
-/** Whether a response belongs to the attempt, says that the request was not run, comes from another server, or belongs to something else. */
+/** Class of a response: it belongs to the attempt, the request was not run, another server replied, or it belongs to another attempt. */
 export type ResponseClass = 'answer' | 'shed' | 'misdirected' | 'stray'
 
 /** Header names in lower case with their values, as they are sent. */
--- a/src/front-end/messageSchema.ts
+++ b/src/front-end/messageSchema.ts
@@ -4,6 +4,7 @@
 
 const id = z.string().min(1).max(256)
 const longId = z.string().min(1).max(1024)
+/** A non-negative integer; also used for terms, sequence numbers, versions and status codes. */
 const index = z.number().int().nonnegative()
 const milliseconds = z.number()
 const address = z.object({ address: z.string().max(64), port: z.number().int().min(0).max(65535) })
--- a/src/front-end/pendingCalls.ts
+++ b/src/front-end/pendingCalls.ts
@@ -1,4 +1,4 @@
-/** HTTP calls of operators that wait for the outcome of a proposal. */
+/** HTTP calls that wait for the outcome of a proposal or read. */
 
 import { randomUUID } from 'node:crypto'
 import type { ServerResponse } from 'node:http'
