--- a/src/exchange/attemptSystem.ts
+++ b/src/exchange/attemptSystem.ts
@@ -74,7 +74,7 @@
   backend.consecutiveFailures += 1
   if (backend.consecutiveFailures < EJECTION_FAILURES || !mayEject(tick, backend)) return
   backend.ejectedUntil = tick.now + EJECTION
-  tick.tables.journal.note({ at: tick.now, event: 'ejected', subject: backend.key, facts: { consecutiveFailures: backend.consecutiveFailures, forMs: EJECTION }, profile: null })
+  tick.tables.journal.append({ at: tick.now, event: 'ejected', subject: backend.key, facts: { consecutiveFailures: backend.consecutiveFailures, forMs: EJECTION }, profile: null })
   backend.consecutiveFailures = 0
 }
 
--- a/src/exchange/refusalNote.ts
+++ b/src/exchange/refusalNote.ts
@@ -24,7 +24,7 @@
 export const noteRefusal = (tick: NoteTick, request: { exchange: ExchangeId, service: ServiceId }, reason: RefusalReason, facts: EventFacts<'refused'> = {}): void => {
   const { configuration, gossip, journal } = tick.tables
   const configurationAgeMs = gossip.confirmedAt === null ? null : Math.round(tick.now - gossip.confirmedAt)
-  journal.note({
+  journal.append({
     at: tick.now,
     event: 'refused',
     subject: request.exchange,
