--- a/src/core/outcome.ts
+++ b/src/core/outcome.ts
@@ -1,23 +1,23 @@
-/** Outcomes as values: an operation that can fail returns one of two tagged shapes. */
+/** Result type: an operation that can fail returns a tagged success or failure instead of throwing. */
 
-/** A result that worked. */
+/** A success with its value. */
 export interface Success<T> { readonly tag: 'ok', readonly value: T }
-/** A result that did not work, with a tagged error. */
+/** A failure with its error. */
 export interface Failure<E> { readonly tag: 'error', readonly error: E }
-/** Either a value or a tagged error. */
+/** A success or a failure, told apart by `tag`. */
 export type Outcome<T, E> = Success<T> | Failure<E>
 
-/** Wraps a value. */
+/** Creates a success. */
 export const ok = <T>(value: T): Success<T> => ({ tag: 'ok', value })
-/** Wraps a tagged error. */
+/** Creates a failure. */
 export const fail = <E>(error: E): Failure<E> => ({ tag: 'error', error })
 
-/** A broken invariant: the process stops rather than act on a state that cannot be. */
+/** Thrown when an invariant does not hold: the process stops instead of acting on an invalid state. */
 export class InvariantViolation extends Error {
   override readonly name = 'InvariantViolation'
 }
 
-/** Stops the process when a condition that must hold does not. */
+/** Asserts a condition. Throws an InvariantViolation if it is false. */
 export function invariant (condition: boolean, message: string): asserts condition {
   if (!condition) throw new InvariantViolation(message)
 }
--- a/src/core/random.ts
+++ b/src/core/random.ts
@@ -1,17 +1,17 @@
-/** Seeded random numbers; systems get them with the tick so that a recorded inbox replays exactly. */
+/** Seeded random numbers. Systems receive the generator with the tick, so that a recorded inbox replays exactly. */
 
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
 import { uniformInt } from 'pure-rand/distribution/uniformInt'
 
-/** A source of random numbers with a known seed. */
+/** A random number generator. */
 export interface Random {
-  /** An integer from 0 up to, not including, the limit. */
+  /** Returns an integer in [0, limit), or 0 if the limit is below 1. */
   below (limit: number): number
-  /** A number from 0 up to, not including, 1. */
+  /** Returns a number in [0, 1). */
   unit (): number
 }
 
-/** A random source that repeats for the same seed. */
+/** A generator that returns the same sequence for the same seed. */
 export class SeededRandom implements Random {
   readonly #generator
 
@@ -24,5 +24,5 @@
   unit (): number { return this.below(0x40000000) / 0x40000000 }
 }
 
-/** Picks one element, or nothing from an empty list. */
+/** Returns a random element, or undefined for an empty list. */
 export const pick = <T>(random: Random, list: readonly T[]): T | undefined => list[random.below(list.length)]
--- a/src/core/rendezvous.ts
+++ b/src/core/rendezvous.ts
@@ -1,24 +1,24 @@
-/** Rendezvous hashing: every host ranks the same candidates for a key alike, without talking to the others. */
+/** Rendezvous hashing: every host ranks the same candidates for a key in the same order, without coordination. */
 
 import { crc32 } from 'node:zlib'
 
-/** The weight of a candidate for a key; the greatest is first. */
+/** Returns the weight of a candidate for a key. The candidate with the highest weight ranks first. */
 export const rendezvousWeight = (key: string, candidate: string): number => {
-  // crc32 is linear, so its result is mixed before it is compared.
-  let mixed = crc32(`${key}\n${candidate}`)
-  mixed = Math.imul(mixed ^ (mixed >>> 16), 0x85ebca6b)
-  mixed = Math.imul(mixed ^ (mixed >>> 13), 0xc2b2ae35)
-  return (mixed ^ (mixed >>> 16)) >>> 0
+  // CRC-32 is linear, so similar inputs give related results. The finalizer mixes the bits before weights are compared.
+  let hash = crc32(`${key}\n${candidate}`)
+  hash = Math.imul(hash ^ (hash >>> 16), 0x85ebca6b)
+  hash = Math.imul(hash ^ (hash >>> 13), 0xc2b2ae35)
+  return (hash ^ (hash >>> 16)) >>> 0
 }
 
-/** Whether a candidate is among the first of all candidates for a key. */
-export const isAmongTopRanked = (key: string, candidate: string, candidates: readonly string[], places: number): boolean => {
+/** Returns whether a candidate is one of the `count` candidates with the highest weight for a key. */
+export const isAmongTopRanked = (key: string, candidate: string, candidates: readonly string[], count: number): boolean => {
   if (!candidates.includes(candidate)) return false
-  const own = rendezvousWeight(key, candidate)
-  let before = 0
+  const weight = rendezvousWeight(key, candidate)
+  let higherRanked = 0
   for (const other of candidates) {
-    if (other !== candidate && rendezvousWeight(key, other) > own) before += 1
-    if (before >= places) return false
+    if (other !== candidate && rendezvousWeight(key, other) > weight) higherRanked += 1
+    if (higherRanked >= count) return false
   }
   return true
 }
--- a/src/core/runner.ts
+++ b/src/core/runner.ts
@@ -1,22 +1,22 @@
-/** Drives a world from the event loop: one tick for all input of a turn, and one timer for the earliest deadline. */
+/** Runs the ticks of a world on the event loop: one tick for all input of a loop turn, and one timer for the earliest deadline. */
 
 import { NEVER, nextDeadline, runTick } from './tick.js'
 import type { Millis, World } from './tick.js'
 
-/** Reads the monotonic clock in milliseconds. */
+/** Returns the time of a monotonic clock, in milliseconds. */
 export type Clock = () => Millis
 
-/** The process's monotonic clock. */
+/** The monotonic clock of this process. */
 export const monotonicClock: Clock = () => performance.now()
 
-/** Where the runner writes what it fed to the world. */
+/** Receives the inputs and outputs of every tick. */
 export interface Recorder<In, Out> {
   record (now: Millis, inbox: readonly In[], outbox: readonly Out[]): void
 }
 
-const LONGEST_TIMER: Millis = 60_000
+const MAX_TIMER_DELAY_MS: Millis = 60_000
 
-/** Feeds a world from the edge; sleeps while there is neither input nor a due deadline. */
+/** Queues input for a world and delivers its output. Idle while there is neither input nor a due deadline. */
 export class Runner<Tables, In, Out> {
   #inbox: In[] = []
   #scheduled = false
@@ -30,7 +30,7 @@
     readonly recorder?: Recorder<In, Out>
   ) {}
 
-  /** Queues a row; the tick runs when this turn of the event loop has taken its arrivals. */
+  /** Queues a row. The tick runs after the I/O callbacks of this turn of the event loop, so that it takes all their rows. */
   push (row: In): void {
     this.#inbox.push(row)
     if (this.#scheduled || this.#stopped) return
@@ -54,15 +54,15 @@
     const outbox = runTick(this.world, now, inbox)
     this.recorder?.record(now, inbox, outbox)
     for (const row of outbox) this.deliver(row)
-    this.#arm()
+    this.#scheduleTimer()
   }
 
-  #arm (): void {
+  #scheduleTimer (): void {
     clearTimeout(this.#timer)
     const deadline = nextDeadline(this.world)
     if (deadline === NEVER || this.#scheduled) return
-    // A timer may fire up to a millisecond early; rounding up avoids an empty tick.
-    const delay = Math.min(LONGEST_TIMER, Math.max(1, Math.ceil(deadline - this.clock())))
+    // A timer may fire up to 1 ms early. Rounding up avoids a tick before the deadline.
+    const delay = Math.min(MAX_TIMER_DELAY_MS, Math.max(1, Math.ceil(deadline - this.clock())))
     this.#timer = setTimeout(this.#tick, delay)
   }
 }
--- a/src/core/table.ts
+++ b/src/core/table.ts
@@ -1,8 +1,8 @@
-/** Tables of entities. Small tables hold a row object for each entity; large ones use columns (see lookup/blockTable.ts). */
+/** Entity tables. Small tables hold one object per row; large tables store columns (see lookup/blockTable.ts). */
 
 import { invariant } from './outcome.js'
 
-/** What systems need from a table, whatever its storage. */
+/** The interface of a table, independent of its storage. */
 export interface Table<K, Row> {
   readonly size: number
   get (key: K): Row | undefined
@@ -12,7 +12,7 @@
   rows (): Iterable<Row>
 }
 
-/** A table with one object per row, and an optional group index so that a system visits only the rows it works on. */
+/** A table with one object per row. The optional group index lets a system visit only the rows that it processes. */
 export class RowTable<K extends string | number, Row> implements Table<K, Row> {
   readonly #rows = new Map<K, Row>()
   readonly #groups = new Map<string, Map<K, Row>>()
@@ -26,22 +26,22 @@
 
   get size (): number { return this.#rows.size }
 
-  /** Grows with every insertion, replacement and removal; derived data is stale when it has grown. */
+  /** Incremented by every insertion, replacement and removal. Data derived from the table is stale if the revision has changed. */
   get revision (): number { return this.#revision }
 
   get (key: K): Row | undefined { return this.#rows.get(key) }
 
   has (key: K): boolean { return this.#rows.has(key) }
 
-  /** Inserts or replaces; call it again after a change that moves the row to another group. */
+  /** Inserts or replaces a row. Must be called again after a change to a row that moves it to another group. */
   put (row: Row): void {
     const key = this.keyOf(row)
     this.#revision += 1
     this.#rows.set(key, row)
     if (this.groupOf === undefined) return
     const name = this.groupOf(row)
-    // A row that stays in its group keeps its place there.
-    if (this.#groupOfKey.get(key) !== name) this.#leaveGroup(key)
+    // A row that stays in its group keeps its position in the insertion order.
+    if (this.#groupOfKey.get(key) !== name) this.#removeFromGroup(key)
     let group = this.#groups.get(name)
     if (group === undefined) this.#groups.set(name, group = new Map())
     group.set(key, row)
@@ -50,7 +50,7 @@
 
   remove (key: K): boolean {
     this.#revision += 1
-    this.#leaveGroup(key)
+    this.#removeFromGroup(key)
     return this.#rows.delete(key)
   }
 
@@ -63,10 +63,10 @@
 
   rows (): Iterable<Row> { return this.#rows.values() }
 
-  /** The row that was inserted first. */
+  /** Returns the row that was inserted first. */
   first (): Row | undefined { return this.#rows.values().next().value }
 
-  /** The rows of one group, in insertion order; safe to change while iterating. */
+  /** Returns a copy of the rows of a group, in insertion order. The table may be changed while iterating over it. */
   group (name: string): Row[] {
     invariant(this.groupOf !== undefined, 'the table has no group index')
     const group = this.#groups.get(name)
@@ -75,7 +75,7 @@
 
   groupSize (name: string): number { return this.#groups.get(name)?.size ?? 0 }
 
-  #leaveGroup (key: K): void {
+  #removeFromGroup (key: K): void {
     const name = this.#groupOfKey.get(key)
     if (name === undefined) return
     const group = this.#groups.get(name)
--- a/src/core/tick.ts
+++ b/src/core/tick.ts
@@ -1,40 +1,40 @@
-/** The tick: systems run in a fixed order over the tables when input is queued or a deadline is due. */
+/** Ticks: the systems of a world run over its tables in a fixed order, when input is queued or a deadline is due. */
 
 import type { Random } from './random.js'
 
-/** Monotonic milliseconds since an arbitrary start. */
+/** A duration in milliseconds, or a time of a monotonic clock with an arbitrary origin. */
 export type Millis = number
 
-/** The deadline of a system that waits for nothing. */
+/** The deadline of a system that has none. */
 export const NEVER: Millis = Number.POSITIVE_INFINITY
 
-/** What one tick gives each system. Systems do no I/O, read no clock and draw no random number of their own. */
+/** The context of one tick. Systems do no I/O and use only this clock and this random number generator. */
 export interface Tick<Tables, In, Out> {
   readonly now: Millis
   readonly random: Random
   readonly tables: Tables
-  /** Rows that arrived since the last tick. */
+  /** Rows received since the last tick. */
   readonly inbox: readonly In[]
-  /** Queues a row for the edge. */
+  /** Adds a row to the outbox. */
   emit (row: Out): void
 }
 
-/** One step over the tables. */
+/** A step of a tick: processes the inbox and the tables. */
 export interface System<Tables, In, Out> {
   readonly name: string
   run (tick: Tick<Tables, In, Out>): void
-  /** The earliest time at which the system has work without new input. */
+  /** Returns the earliest time at which the system must run without new input, or NEVER. */
   deadline (tables: Tables): Millis
 }
 
-/** Tables with the systems that run over them. */
+/** The tables of a process and the systems that run over them, in order. */
 export interface World<Tables, In, Out> {
   readonly tables: Tables
   readonly systems: ReadonlyArray<System<Tables, In, Out>>
   readonly random: Random
 }
 
-/** Runs every system once and returns the outbox. */
+/** Runs every system once. Returns the outbox. */
 export const runTick = <Tables, In, Out>(world: World<Tables, In, Out>, now: Millis, inbox: readonly In[]): Out[] => {
   const outbox: Out[] = []
   const tick: Tick<Tables, In, Out> = {
@@ -48,7 +48,7 @@
   return outbox
 }
 
-/** The earliest deadline of all systems. */
+/** Returns the earliest deadline of all systems, or NEVER. */
 export const nextDeadline = <Tables, In, Out>(world: World<Tables, In, Out>): Millis => {
   let earliest = NEVER
   for (const system of world.systems) earliest = Math.min(earliest, system.deadline(world.tables))
--- a/src/core/world.spec.ts
+++ b/src/core/world.spec.ts
@@ -8,7 +8,7 @@
 
 interface Row { readonly id: string, readonly group: string }
 
-t.test('a table keeps rows, groups and its revision', async t => {
+t.test('a table keeps its rows, group index and revision up to date', async t => {
   const table = new RowTable<string, Row>(row => row.id, row => row.group)
   table.put({ id: 'a', group: 'x' })
   table.put({ id: 'b', group: 'x' })
@@ -22,7 +22,7 @@
   t.throws(() => { new RowTable<string, Row>(row => row.id).group('x') }, InvariantViolation)
 })
 
-t.test('the same seed draws the same numbers', async t => {
+t.test('the same seed gives the same random numbers', async t => {
   const draw = (): number[] => {
     const random = new SeededRandom(7)
     return Array.from({ length: 5 }, () => random.below(1_000))
@@ -48,7 +48,7 @@
   deadline (tables: Tables): number { return tables.dueAt }
 }
 
-t.test('one tick takes all arrivals of a turn; without input or deadline no tick runs', async t => {
+t.test('one tick takes all input of a loop turn; without input or a due deadline no tick runs', async t => {
   const world = { tables: { total: 0, dueAt: NEVER }, systems: [new SumSystem()], random: new SeededRandom(1) }
   const out: string[] = []
   let ticks = 0
@@ -59,11 +59,11 @@
   await new Promise(resolve => setImmediate(resolve))
   await new Promise(resolve => setTimeout(resolve, 50))
   t.same(out, ['total 6 after 3'])
-  t.equal(ticks, 1, 'nothing ran while nothing was due')
+  t.equal(ticks, 1, 'no tick ran without input or a due deadline')
   world.tables.dueAt = performance.now() + 5
   runner.push(0)
   await new Promise(resolve => setTimeout(resolve, 100))
-  t.ok(out.includes('due'), 'the deadline woke the world')
+  t.ok(out.includes('due'), 'a tick ran at the deadline')
   runner.stop()
   t.same(runTick(world, 0, [4]), ['total 10 after 1'])
 })
--- a/tap-snapshots/src/core/outcome.spec.ts.test.cjs
+++ b/tap-snapshots/src/core/outcome.spec.ts.test.cjs
@@ -5,7 +5,7 @@
  * Make sure to inspect the output below.  Do not ignore changes!
  */
 'use strict'
-exports[`src/core/outcome.spec.ts > TAP > outcomes are tagged values 1`] = `
+exports[`src/core/outcome.spec.ts > TAP > successes and failures are tagged values 1`] = `
 Object {
   "fail": Object {
     "error": Object {
--- a/tap-snapshots/src/core/world.spec.ts.test.cjs
+++ b/tap-snapshots/src/core/world.spec.ts.test.cjs
@@ -5,7 +5,7 @@
  * Make sure to inspect the output below.  Do not ignore changes!
  */
 'use strict'
-exports[`src/core/world.spec.ts > TAP > a table keeps rows, groups and its revision > must match snapshot 1`] = `
+exports[`src/core/world.spec.ts > TAP > a table keeps its rows, group index and revision up to date > must match snapshot 1`] = `
 Object {
   "first": Object {
     "group": "y",
