--- a/src/main.ts
+++ b/src/main.ts
@@ -1,4 +1,4 @@
-/** The entry point of the binary. */
+/** Main module of the `rhubarbseam` binary. */
 
 import { main } from './command-line/main.js'
 
--- a/src/process/exitCodes.ts
+++ b/src/process/exitCodes.ts
@@ -1,6 +1,5 @@
-/** Exit codes of the command line, stated in docs/OPERATIONS.md. */
+/** Exit codes of the command line, documented in docs/OPERATIONS.md. */
 
-/** What each exit code means. */
 export const exitCodes = {
   success: 0,
   wrongUse: 2,
--- a/src/process/launcher.ts
+++ b/src/process/launcher.ts
@@ -1,4 +1,4 @@
-/** Starts the program from the code cache that the build made for its role, so that a start costs little processor time. */
+/** Starts the program with the V8 code cache that the build made for its role, which saves compilation time at the start. */
 
 import { readFileSync, writeFileSync } from 'node:fs'
 import { createRequire } from 'node:module'
@@ -8,11 +8,11 @@
 import { CODE_CACHE_ARGUMENT } from './codeCache.js'
 import type { CodeCacheState } from './codeCache.js'
 
-const PROGRAM = join(__dirname, 'program.cjs')
-const CACHE_VERB = 'make-code-cache'
+const PROGRAM_FILE = join(__dirname, 'program.cjs')
+const CACHE_COMMAND = 'make-code-cache'
 
-// The compiled code is good for this text alone, so the wrapper is part of it.
-const wrapped = (): string => `(function (exports, require, module, __filename, __dirname) {${readFileSync(PROGRAM, 'utf8')}\n})`
+// V8 accepts a code cache only for the same source text, which includes this wrapper.
+const wrapProgram = (): string => `(function (exports, require, module, __filename, __dirname) {${readFileSync(PROGRAM_FILE, 'utf8')}\n})`
 
 const readCache = (role: string | undefined): Buffer | undefined => {
   if (role === undefined) return undefined
@@ -23,24 +23,24 @@
   }
 }
 
-// The engine takes a cache only from a process with the same flags; functions are compiled whether they run at the start or not.
+// Compiles all functions, also those that do not run at the start. V8 accepts a cache only under the flags of the process that made it.
 const makeCache = (file: string): void => {
   setFlagsFromString('--no-lazy')
-  const script = new Script(wrapped(), { filename: PROGRAM })
+  const script = new Script(wrapProgram(), { filename: PROGRAM_FILE })
   setFlagsFromString('--lazy')
   writeFileSync(file, script.createCachedData())
 }
 
 const launch = (role: string | undefined): void => {
   const cachedData = readCache(role)
-  const script = new Script(wrapped(), { filename: PROGRAM, cachedData })
+  const script = new Script(wrapProgram(), { filename: PROGRAM_FILE, cachedData })
   const state: CodeCacheState = cachedData === undefined ? 'absent' : script.cachedDataRejected === true ? 'rejected' : 'used'
   process.argv.push(`${CODE_CACHE_ARGUMENT}${state}`)
   const module = { exports: {} }
   const program = script.runInThisContext() as (...parts: unknown[]) => void
-  program.call(module.exports, module.exports, createRequire(PROGRAM), module, PROGRAM, dirname(PROGRAM))
+  program.call(module.exports, module.exports, createRequire(PROGRAM_FILE), module, PROGRAM_FILE, dirname(PROGRAM_FILE))
 }
 
-const [verb, file] = process.argv.slice(2)
-if (verb === CACHE_VERB && file !== undefined) makeCache(file)
-else launch(verb)
+const [command, file] = process.argv.slice(2)
+if (command === CACHE_COMMAND && file !== undefined) makeCache(file)
+else launch(command)
--- a/src/process/listen.ts
+++ b/src/process/listen.ts
@@ -1,9 +1,9 @@
-/** Listening, as a promise. */
+/** Promise wrapper around `server.listen`. */
 
 import type { Server } from 'node:net'
 import type { Address } from '../core/address.js'
 
-/** Listens and returns the port; rejects when the address cannot be had. */
+/** Listens on an address and returns the bound port. Rejects if the address cannot be bound. */
 export const listenOn = async (server: Server, listen: Address): Promise<number> => {
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
--- a/src/process/stopOnSignals.ts
+++ b/src/process/stopOnSignals.ts
@@ -1,9 +1,9 @@
-/** Ends a process gracefully on the signals that ask for it. */
+/** Graceful shutdown on SIGTERM and SIGINT. */
 
 import { exitCodes } from './exitCodes.js'
 import type { RunningProcess } from './runningProcess.js'
 
-/** Stops once, whatever signals come, and exits; an error while stopping goes to the handler. */
+/** Stops the process on the first signal, ignores later ones, and exits. Errors while stopping go to `onError`. */
 export const stopOnSignals = (running: RunningProcess, onError: (error: unknown) => void): void => {
   let isStopping = false
   const stop = (): void => {
--- a/src/settings/loadSettings.ts
+++ b/src/settings/loadSettings.ts
@@ -1,4 +1,4 @@
-/** Reads and checks a settings file; every error names its path, what was found and what is allowed. */
+/** Reads and validates a settings file. Every problem names its path, the value found and the allowed values. */
 
 import { readFileSync } from 'node:fs'
 import { dirname, resolve } from 'node:path'
@@ -9,13 +9,13 @@
 import { settingsSchema } from './settingsSchema.js'
 import type { Settings } from './settingsSchema.js'
 
-/** Why settings cannot be used. */
+/** The reason why settings cannot be used. */
 export type SettingsError =
   | { readonly kind: 'file-unreadable', readonly path: string, readonly reason: string }
   | { readonly kind: 'yaml-malformed', readonly reason: string }
   | { readonly kind: 'settings-invalid', readonly problems: readonly string[] }
 
-const describeFound = (value: unknown): string => {
+const describeValue = (value: unknown): string => {
   if (value === undefined) return 'nothing'
   const text = JSON.stringify(value) ?? String(value)
   return text.length > 60 ? `${text.slice(0, 57)}...` : text
@@ -33,17 +33,17 @@
 const describeIssue = (root: unknown, issue: z.core.$ZodIssue): string => {
   const path = issue.path.map(String).join('.') || '(top)'
   if (issue.code === 'unrecognized_keys') return `${path}: unknown key ${issue.keys.map(key => `"${key}"`).join(', ')}`
-  return `${path}: found ${describeFound(valueAt(root, issue.path))}; ${issue.message}`
+  return `${path}: found ${describeValue(valueAt(root, issue.path))}; ${issue.message}`
 }
 
-/** Checks plain settings. */
+/** Validates parsed settings. */
 export const validateSettings = (raw: unknown): Outcome<Settings, SettingsError> => {
   const parsed = settingsSchema.safeParse(raw)
   if (parsed.success) return ok(parsed.data)
   return fail({ kind: 'settings-invalid', problems: parsed.error.issues.map(issue => describeIssue(raw, issue)) })
 }
 
-/** Checks settings in YAML. */
+/** Parses and validates settings in YAML. */
 export const parseSettings = (text: string): Outcome<Settings, SettingsError> => {
   const document = parseDocument(text)
   const problem = document.errors[0]
@@ -51,19 +51,19 @@
   return validateSettings(document.toJS())
 }
 
-const fileKeys = ['fleetKeyFile', 'announcementKeyFile', 'clientBlocksFile', 'operatorsFile', 'dataFolder', 'recordFile'] as const
+const pathSettings = ['fleetKeyFile', 'announcementKeyFile', 'clientBlocksFile', 'operatorsFile', 'dataFolder', 'recordFile'] as const
 
-// Paths in the settings are relative to the file that names them.
+// Paths in a settings file are relative to the folder of that file.
 const resolvePaths = (settings: Settings, folder: string): Settings => {
   const resolved: Record<string, unknown> = { ...settings }
-  for (const key of fileKeys) {
+  for (const key of pathSettings) {
     const value = resolved[key]
     if (typeof value === 'string') resolved[key] = resolve(folder, value)
   }
   return resolved as Settings
 }
 
-/** Reads a settings file. */
+/** Reads and validates a settings file. */
 export const loadSettings = (path: string): Outcome<Settings, SettingsError> => {
   let text: string
   try {
@@ -75,7 +75,7 @@
   return parsed.tag === 'ok' ? ok(resolvePaths(parsed.value, dirname(resolve(path)))) : parsed
 }
 
-/** An error as lines for a person. */
+/** Formats an error as lines, one per problem. */
 export const describeSettingsError = (error: SettingsError): readonly string[] => {
   if (error.kind === 'file-unreadable') return [`cannot read ${error.path}: ${error.reason}`]
   if (error.kind === 'yaml-malformed') return [`not YAML: ${error.reason}`]
--- a/src/settings/settings.spec.ts
+++ b/src/settings/settings.spec.ts
@@ -6,7 +6,7 @@
 import { renderSettingsReference } from './settingsReference.js'
 import { SecretFile } from '../process/secretFile.js'
 
-const good = `
+const validSettings = `
 role: entry
 host: entry-1
 region: north
@@ -18,47 +18,47 @@
 fleetKeyFile: fleet.key
 `
 
-const problemsOf = (text: string): readonly string[] => {
+const findProblems = (text: string): readonly string[] => {
   const outcome = parseSettings(text)
   return outcome.tag === 'ok' ? ['good'] : describeSettingsError(outcome.error)
 }
 
-t.test('every error names its path, what was found and what is allowed', async t => {
+t.test('every problem names its path, the value found and the allowed values', async t => {
   t.matchSnapshot({
-    good: problemsOf(good),
-    unknownKey: problemsOf(`${good}colour: red\n`),
-    unknownNestedKey: problemsOf(`${good}limits: { speed: 3 }\n`),
-    wrongType: problemsOf(good.replace('host: entry-1', 'host: 5')),
-    outOfRange: problemsOf(good.replace('port: 0', 'port: 70000')),
-    wrongChoice: problemsOf(`${good}policies: { queue: lottery }\n`),
-    missing: problemsOf(good.replace('fleetKeyFile: fleet.key\n', '')),
-    wrongRole: problemsOf('role: oracle\n'),
-    notYaml: problemsOf('role: [entry\n'),
-    empty: problemsOf('')
+    good: findProblems(validSettings),
+    unknownKey: findProblems(`${validSettings}colour: red\n`),
+    unknownNestedKey: findProblems(`${validSettings}limits: { speed: 3 }\n`),
+    wrongType: findProblems(validSettings.replace('host: entry-1', 'host: 5')),
+    outOfRange: findProblems(validSettings.replace('port: 0', 'port: 70000')),
+    wrongChoice: findProblems(`${validSettings}policies: { queue: lottery }\n`),
+    missing: findProblems(validSettings.replace('fleetKeyFile: fleet.key\n', '')),
+    wrongRole: findProblems('role: oracle\n'),
+    notYaml: findProblems('role: [entry\n'),
+    empty: findProblems('')
   })
 })
 
-t.test('defaults are filled in', async t => {
-  t.matchSnapshot(parseSettings(good))
+t.test('missing settings get their defaults', async t => {
+  t.matchSnapshot(parseSettings(validSettings))
 })
 
-t.test('a file that cannot be read is a value', async t => {
+t.test('an unreadable file gives an error', async t => {
   const outcome = loadSettings('/nonexistent/settings.yaml')
   t.equal(outcome.tag, 'error')
 })
 
-t.test('the reference page is current', async t => {
+t.test('the reference page matches the schema', async t => {
   t.equal(`${renderSettingsReference()}\n`, readFileSync('docs/CONFIGURATION.md', 'utf8'), 'run npm run docs')
 })
 
-t.test('the two examples are good and name what they need', async t => {
+t.test('the example settings are valid', async t => {
   for (const name of ['utility-entry', 'utility-control', 'booking-entry', 'booking-control']) {
     const outcome = loadSettings(`examples/${name}.yaml`)
     t.equal(outcome.tag, 'ok', name)
   }
 })
 
-t.test('secrets are read again when their file changes, and bad ones are values', async t => {
+t.test('secrets are reloaded when their file changes, and unusable files give errors', async t => {
   const folder = mkdtempSync(join(tmpdir(), 'rhubarbseam-secret-'))
   t.teardown(() => { rmSync(folder, { recursive: true }) })
   const path = join(folder, 'key')
--- a/tap-snapshots/src/settings/settings.spec.ts.test.cjs
+++ b/tap-snapshots/src/settings/settings.spec.ts.test.cjs
@@ -5,7 +5,42 @@
  * Make sure to inspect the output below.  Do not ignore changes!
  */
 'use strict'
-exports[`src/settings/settings.spec.ts > TAP > defaults are filled in > must match snapshot 1`] = `
+exports[`src/settings/settings.spec.ts > TAP > every problem names its path, the value found and the allowed values > must match snapshot 1`] = `
+Object {
+  "empty": Array [
+    "(top): found null; Invalid input: expected object, received null",
+  ],
+  "good": Array [
+    "good",
+  ],
+  "missing": Array [
+    "fleetKeyFile: found nothing; Invalid input: expected string, received undefined",
+  ],
+  "notYaml": Array [
+    "not YAML: Flow sequence in block collection must be sufficiently indented and end with a ] at line 2, column 1:",
+  ],
+  "outOfRange": Array [
+    "link.port: found 70000; Too big: expected number to be <=65535",
+  ],
+  "unknownKey": Array [
+    "(top): unknown key \\"colour\\"",
+  ],
+  "unknownNestedKey": Array [
+    "limits: unknown key \\"speed\\"",
+  ],
+  "wrongChoice": Array [
+    "policies.queue: found \\"lottery\\"; Invalid option: expected one of \\"max-min\\"|\\"first-come\\"|\\"ranked-max-min\\"",
+  ],
+  "wrongRole": Array [
+    "role: found \\"oracle\\"; Invalid discriminator value. Expected 'entry' | 'control'",
+  ],
+  "wrongType": Array [
+    "host: found 5; Invalid input: expected string, received number",
+  ],
+}
+`
+
+exports[`src/settings/settings.spec.ts > TAP > missing settings get their defaults > must match snapshot 1`] = `
 Object {
   "tag": "ok",
   "value": Object {
@@ -52,42 +87,7 @@
 }
 `
 
-exports[`src/settings/settings.spec.ts > TAP > every error names its path, what was found and what is allowed > must match snapshot 1`] = `
-Object {
-  "empty": Array [
-    "(top): found null; Invalid input: expected object, received null",
-  ],
-  "good": Array [
-    "good",
-  ],
-  "missing": Array [
-    "fleetKeyFile: found nothing; Invalid input: expected string, received undefined",
-  ],
-  "notYaml": Array [
-    "not YAML: Flow sequence in block collection must be sufficiently indented and end with a ] at line 2, column 1:",
-  ],
-  "outOfRange": Array [
-    "link.port: found 70000; Too big: expected number to be <=65535",
-  ],
-  "unknownKey": Array [
-    "(top): unknown key \\"colour\\"",
-  ],
-  "unknownNestedKey": Array [
-    "limits: unknown key \\"speed\\"",
-  ],
-  "wrongChoice": Array [
-    "policies.queue: found \\"lottery\\"; Invalid option: expected one of \\"max-min\\"|\\"first-come\\"|\\"ranked-max-min\\"",
-  ],
-  "wrongRole": Array [
-    "role: found \\"oracle\\"; Invalid discriminator value. Expected 'entry' | 'control'",
-  ],
-  "wrongType": Array [
-    "host: found 5; Invalid input: expected string, received number",
-  ],
-}
-`
-
-exports[`src/settings/settings.spec.ts > TAP > secrets are read again when their file changes, and bad ones are values > must match snapshot 1`] = `
+exports[`src/settings/settings.spec.ts > TAP > secrets are reloaded when their file changes, and unusable files give errors > must match snapshot 1`] = `
 Array [
   "secret-too-short",
   "secret-unreadable",
