--- a/src/journal/eventLog.spec.ts
+++ b/src/journal/eventLog.spec.ts
@@ -10,36 +10,36 @@
 
 interface Line { readonly fields: Record<string, unknown>, readonly message: string }
 
-const record = (): { lines: Line[], log: EventLog } => {
+const createRecordedLog = (): { lines: Line[], log: EventLog } => {
   const lines: Line[] = []
   return { lines, log: new EventLog({ info: (fields, message) => { lines.push({ fields, message }) } }) }
 }
 
-t.test('lines stay within their budget, and what is left out is counted', async t => {
-  const { lines, log } = record()
+t.test('log lines stay within the rate limit, and dropped events are counted', async t => {
+  const { lines, log } = createRecordedLog()
   const seconds = 10
   const perSecond = 500
   for (let count = 0; count < seconds * perSecond; count += 1) log.write(refused(count * 1_000 / perSecond, `request ${count}`))
   const decisions = lines.filter(line => line.message === 'decision').length
-  let leftOut = 0
-  for (const { fields, message } of lines) if (message === 'events left out') leftOut += Number(fields.lines)
-  t.ok(decisions <= LINE_BURST + seconds * LINES_PER_SECOND, 'the budget holds')
-  t.ok(decisions + leftOut >= seconds * perSecond - perSecond / LINES_PER_SECOND, 'every event is written or counted')
+  let dropped = 0
+  for (const { fields, message } of lines) if (message === 'events dropped by the rate limit') dropped += Number(fields.lines)
+  t.ok(decisions <= LINE_BURST + seconds * LINES_PER_SECOND, 'the rate limit holds')
+  t.ok(decisions + dropped >= seconds * perSecond - perSecond / LINES_PER_SECOND, 'every event is written or counted')
 })
 
-t.test('refused requests leave room for lost peers', async t => {
-  const { lines, log } = record()
+t.test('refused requests do not use up the rate limit of events about peers', async t => {
+  const { lines, log } = createRecordedLog()
   for (let count = 0; count < 1_000; count += 1) log.write(refused(0, `request ${count}`))
   log.write(lostPeer(0))
   t.matchSnapshot(lines.at(-1))
 })
 
-t.test('ordinary attempts are not written', async t => {
-  const { lines, log } = record()
+t.test('first attempts are not logged', async t => {
+  const { lines, log } = createRecordedLog()
   log.write({ at: 0, event: 'attempt', subject: 'request', facts: {}, profile: null })
   t.same(lines, [])
 })
 
-t.test('the page of events is made from the registry', async t => {
+t.test('the reference page matches the event registry', async t => {
   t.equal(`${renderEventReference()}\n`, readFileSync('docs/EVENTS.md', 'utf8'), 'run npm run docs')
 })
--- a/src/journal/eventRegistry.ts
+++ b/src/journal/eventRegistry.ts
@@ -1,46 +1,46 @@
-/** Every event that a process notes: what it is about and what its facts say. The log and docs/EVENTS.md speak these words. */
+/** The registry of journal events: subject, meaning and facts of each. The log uses these names, and docs/EVENTS.md is generated from them. */
 
 interface EventDefinition {
-  /** Whether it touches a request or changes what the process believes. */
+  /** `request`: a decision about a request. `belief`: a change in the state that the process has observed. */
   readonly scope: 'request' | 'belief'
   readonly meaning: string
   readonly subject: string
-  /** Every fact that it may carry. */
+  /** Meaning of each fact that the event may have. */
   readonly facts: Readonly<Record<string, string>>
-  /** Ordinary events are told by metrics; a line for each would cost more than the decision itself. */
+  /** False for frequent events: metrics count them, and a log line for each would cost more than the decision itself. */
   readonly isLogged: boolean
 }
 
 const BELIEF_FACTS = {
-  from: 'what was believed before; null when nothing was',
-  to: 'what is believed now'
+  from: 'previous state; null if there was none',
+  to: 'new state'
 } as const
 
-/** Definitions by name. */
+/** Event definitions by name. */
 export const eventRegistry = {
   refused: {
     scope: 'request',
-    meaning: 'a request was turned away',
+    meaning: 'a request was refused',
     subject: 'the request',
     facts: {
-      reason: 'why, by the list of reasons on the operators\' page',
-      service: 'service that it asked for',
-      configurationIndex: 'index of the configuration in force here',
-      configurationAgeMs: 'time since a leader vouched for that index, in milliseconds',
-      waitedMs: 'time since it came in, in milliseconds',
-      queued: 'requests that waited for the same service',
-      workspace: 'workspace that it belongs to',
-      ownRate: 'this host\'s part of the workspace\'s rate, in requests a second',
-      ownBurst: 'this host\'s part of the workspace\'s burst, in requests',
-      tokens: 'tokens left in that part',
-      demand: 'requests a second that callers asked of this host for the workspace',
-      credits: 'loans of tokens from other hosts that were still good',
-      heldMs: 'time that it waited for a token, in milliseconds',
-      policy: 'way in which allowances are held',
-      attempts: 'backend servers that it was sent to',
-      result: 'how the last attempt ended',
+      reason: 'reason of the refusal, as listed on the operators\' page',
+      service: 'requested service',
+      configurationIndex: 'log index of the configuration in force on this host',
+      configurationAgeMs: 'time since a leader last confirmed that index, in milliseconds',
+      waitedMs: 'time since the request was received, in milliseconds',
+      queued: 'requests in the queue of the service',
+      workspace: 'workspace of the request',
+      ownRate: 'this host\'s share of the workspace\'s rate, in requests per second',
+      ownBurst: 'this host\'s share of the workspace\'s burst, in requests',
+      tokens: 'tokens left in the token bucket of this host',
+      demand: 'demand for the workspace on this host, in requests per second',
+      credits: 'number of unexpired loans of tokens from other hosts',
+      heldMs: 'time that the request waited for a token, in milliseconds',
+      policy: 'allowance policy',
+      attempts: 'number of attempts',
+      result: 'result of the last attempt',
       cause: 'error of the last attempt',
-      isCondemned: 'whether it is kept from servers because it crashes them'
+      isCondemned: 'whether the request is blocked because it crashes backend servers'
     },
     isLogged: true
   },
@@ -51,30 +51,30 @@
     facts: {
       backend: 'server, as SERVICE/NAME',
       zone: 'availability zone of the server',
-      inFlight: 'attempts of this host that run there, this one included',
-      slots: 'slots of the server',
-      admissionMs: 'time until it was admitted, in milliseconds',
-      queueMs: 'time that it waited for a server, in milliseconds',
+      inFlight: 'attempts of this host in flight at the server, including this one',
+      slots: 'concurrency slots of the server',
+      admissionMs: 'time until the request was admitted, in milliseconds',
+      queueMs: 'time that the request waited for a server, in milliseconds',
       isAway: 'whether the server is in another region',
-      choice: 'way in which the server was chosen',
-      isSuspect: 'whether it runs apart because it may crash servers'
+      choice: 'policy that chose the server',
+      isSuspect: 'whether the request runs isolated because it may crash backend servers'
     },
     isLogged: false
   },
   retry: {
     scope: 'request',
-    meaning: 'a request was sent to a backend server once more',
+    meaning: 'a request was retried at a backend server',
     subject: 'the request',
     facts: {
       backend: 'server, as SERVICE/NAME',
       zone: 'availability zone of the server',
-      inFlight: 'attempts of this host that run there, this one included',
-      slots: 'slots of the server',
-      admissionMs: 'time until it was admitted, in milliseconds',
-      queueMs: 'time since it was admitted, in milliseconds',
+      inFlight: 'attempts of this host in flight at the server, including this one',
+      slots: 'concurrency slots of the server',
+      admissionMs: 'time until the request was admitted, in milliseconds',
+      queueMs: 'time since the request was admitted, in milliseconds',
       isAway: 'whether the server is in another region',
-      choice: 'way in which the server was chosen',
-      isSuspect: 'whether it runs apart because it may crash servers'
+      choice: 'policy that chose the server',
+      isSuspect: 'whether the request runs isolated because it may crash backend servers'
     },
     isLogged: true
   },
@@ -83,57 +83,57 @@
     meaning: 'a request was sent to another region',
     subject: 'the request',
     facts: {
-      service: 'service that it asked for',
-      to: 'region that it went to',
-      total: 'requests of the account in this window',
-      away: 'those of them that left the region',
-      baseline: 'part that left in the window before, 0 to 1'
+      service: 'requested service',
+      to: 'region of the backend server',
+      total: 'requests counted in the current window',
+      away: 'requests of that window sent to other regions',
+      baseline: 'fraction sent to other regions in the previous window, from 0 to 1'
     },
     isLogged: false
   },
   ejected: {
     scope: 'belief',
-    meaning: 'a backend server gets no new work for a while, after failures seen here',
+    meaning: 'this host ejected a backend server after consecutive failures: it gets no new requests for a time',
     subject: 'the server, as SERVICE/NAME',
     facts: {
       consecutiveFailures: 'failed attempts in a row',
-      forMs: 'length of the pause, in milliseconds'
+      forMs: 'duration of the ejection, in milliseconds'
     },
     isLogged: true
   },
   peer: {
     scope: 'belief',
-    meaning: 'a process of the fleet was lost or is back',
+    meaning: 'the state of another process of the fleet changed',
     subject: 'its host',
-    facts: { ...BELIEF_FACTS, role: 'what it does in the fleet', zone: 'its availability zone', epoch: 'start of that process, in wall-clock milliseconds' },
+    facts: { ...BELIEF_FACTS, role: 'its role, `entry` or `control`', zone: 'its availability zone', epoch: 'start time of that process, in wall-clock milliseconds' },
     isLogged: true
   },
   backend: {
     scope: 'belief',
-    meaning: 'a backend server was lost, leaves, or is back',
+    meaning: 'the state of a backend server changed',
     subject: 'the server, as SERVICE/NAME',
-    facts: { ...BELIEF_FACTS, zone: 'its availability zone', epoch: 'start of the server, in wall-clock milliseconds', sequence: 'its newest report', silentMs: 'time since it spoke to this host, in milliseconds; null when only others told of it' },
+    facts: { ...BELIEF_FACTS, zone: 'its availability zone', epoch: 'start time of the server, in wall-clock milliseconds', sequence: 'sequence number of its latest announcement', silentMs: 'time since its last announcement to this host, in milliseconds; null if this host only has it from other hosts' },
     isLogged: true
   },
   configuration: {
     scope: 'belief',
-    meaning: 'another configuration is in force here',
+    meaning: 'another configuration is in force on this host',
     subject: '"configuration"',
-    facts: { ...BELIEF_FACTS, planVersion: 'version of the operators\' plan; null without one', evacuated: 'availability zones that are evacuated, with spaces between' },
+    facts: { ...BELIEF_FACTS, planVersion: 'version of the operators\' plan; null if there is none', evacuated: 'evacuated availability zones, separated by spaces' },
     isLogged: true
   },
   quorum: {
     scope: 'belief',
-    meaning: 'this host heard from the quorum of control hosts again, or no longer does',
+    meaning: 'this host lost or regained contact with the quorum of control hosts',
     subject: '"quorum"',
-    facts: { ...BELIEF_FACTS, ageMs: 'time since a leader vouched for this host\'s configuration, in milliseconds; null when none has since the start' },
+    facts: { ...BELIEF_FACTS, ageMs: 'time since a leader last confirmed the configuration of this host, in milliseconds; null if none has since the start' },
     isLogged: true
   },
   leader: {
     scope: 'belief',
-    meaning: 'the control group has another leader, or none',
+    meaning: 'the leader of the control group changed',
     subject: '"leader"',
-    facts: { ...BELIEF_FACTS, role: 'what this replica is', term: 'term of the log', commit: 'index up to which the log is committed', voters: 'voters of the group' },
+    facts: { ...BELIEF_FACTS, role: 'role of this replica', term: 'term of the replicated log', commit: 'index up to which the log is committed', voters: 'number of voters in the group' },
     isLogged: true
   }
 } as const satisfies Record<string, EventDefinition>
@@ -143,13 +143,13 @@
 /** Name of an event. */
 export type EventKind = keyof Events
 
-/** What a fact may say. */
+/** The value of a fact. */
 export type Fact = string | number | boolean | null
 
 /** The facts of one kind of event. */
 export type EventFacts<K extends EventKind> = { readonly [F in keyof Events[K]['facts']]?: Fact }
 
-const section = (scope: EventDefinition['scope']): string[] => {
+const renderSection = (scope: EventDefinition['scope']): string[] => {
   const rows: string[] = []
   for (const [name, definition] of Object.entries<EventDefinition>(eventRegistry)) {
     if (definition.scope !== scope) continue
@@ -160,18 +160,18 @@
   return rows
 }
 
-/** The page of all events, in Markdown. */
+/** Returns the reference page of the events as Markdown. */
 export const renderEventReference = (): string => [
   '# Events',
   '',
-  'Made by `npm run docs` from `src/journal/eventRegistry.ts`; change that file, not this page.',
-  'Each line on standard output is JSON. One that tells an event has `event`, `subject`, `at` (milliseconds of the process\'s steady clock), `time` (wall clock), `host`, `profile` (the profile that decided, NAME@VERSION) and the facts below.',
-  '`rhubarbseam logs SUBJECT FILE...` joins the lines of several processes.',
+  'Generated from `src/journal/eventRegistry.ts` by `npm run docs`. To change this page, edit that file.',
+  'Each line on standard output is JSON. The line of an event has `event`, `subject`, `at` (milliseconds of the monotonic clock of the process), `time` (wall clock), `host`, `profile` (the steering profile that applied, as NAME@VERSION) and the facts below.',
+  '`rhubarbseam logs SUBJECT FILE...` joins the log lines of several processes.',
   '',
   '## What touches a request',
   '',
-  ...section('request'),
+  ...renderSection('request'),
   '## What a process believes',
   '',
-  ...section('belief')
+  ...renderSection('belief')
 ].join('\n').trimEnd()
--- a/src/journal/journal.ts
+++ b/src/journal/journal.ts
@@ -1,30 +1,30 @@
-/** A bounded journal of events, from which `explain` tells what was seen and which figures decided. */
+/** The in-memory journal of a process: its latest events with the values behind each decision. Read by the `explain` command. */
 
 import type { Millis } from '../core/tick.js'
 import type { EventFacts, EventKind } from './eventRegistry.js'
 
-/** Events that one host keeps. */
+/** Number of events that the journal keeps. */
 export const JOURNAL_CAPACITY = 4_096
 
-interface Note<K extends EventKind> {
+interface EventRecord<K extends EventKind> {
   readonly at: Millis
   readonly event: K
-  /** The request, backend server, host or other thing that it concerns. */
+  /** The id of the request, backend server, host or other entity that the event is about. */
   readonly subject: string
-  /** The rules and figures behind it. */
+  /** The values behind the event. */
   readonly facts: EventFacts<K>
-  /** The profile that was in force, as NAME@VERSION; null where none decided. */
+  /** The steering profile that applied, as NAME@VERSION; null if none did. */
   readonly profile: string | null
 }
 
 /** One event. */
-export type JournalRow = { readonly [K in EventKind]: Note<K> }[EventKind]
+export type JournalRow = { readonly [K in EventKind]: EventRecord<K> }[EventKind]
 
-/** A ring of the latest events. */
+/** A ring buffer of the latest events. */
 export class Journal {
   readonly #rows: JournalRow[] = []
   #next = 0
-  /** Takes each event as it is noted. */
+  /** Called with each appended event. */
   onAppend: ((row: JournalRow) => void) | null = null
 
   append (row: JournalRow): void {
@@ -33,16 +33,16 @@
     this.#next = (this.#next + 1) % JOURNAL_CAPACITY
   }
 
-  /** Events about a subject, oldest first. */
+  /** Returns the events about a subject, oldest first. */
   eventsAbout (subject: string): JournalRow[] {
     const rows = this.#rows.filter(row => row.subject === subject)
     return rows.sort((a, b) => a.at - b.at)
   }
 
-  /** The latest events, newest first. */
-  latest (most: number): JournalRow[] {
+  /** Returns up to `limit` latest events, newest first. */
+  latest (limit: number): JournalRow[] {
     const rows: JournalRow[] = []
-    for (let step = 1; step <= Math.min(most, this.#rows.length); step += 1) {
+    for (let step = 1; step <= Math.min(limit, this.#rows.length); step += 1) {
       const row = this.#rows[(this.#next - step + JOURNAL_CAPACITY) % JOURNAL_CAPACITY]
       if (row !== undefined) rows.push(row)
     }
@@ -50,5 +50,5 @@
   }
 }
 
-/** Tables of the journal. */
+/** Tables with a journal. */
 export interface JournalTables { readonly journal: Journal }
--- a/src/observability/log.ts
+++ b/src/observability/log.ts
@@ -1,16 +1,15 @@
-/** The one log: JSON lines on standard output. */
+/** The log of a process: JSON lines on standard output. */
 
 import bunyan from 'bunyan'
 import type Logger from 'bunyan'
 
-/** The log that every part of a process writes to. */
+/** The logger of a process. */
 export type Log = Logger
 
-/** Levels that settings may name. */
+/** Log levels, as the settings name them. */
 export const logLevels = ['trace', 'debug', 'info', 'warn', 'error', 'fatal'] as const
-/** One of the levels. */
 export type LogLevel = typeof logLevels[number]
 
-/** Creates the log of a process. */
+/** Creates the logger of a process on the given host. */
 export const createLog = (host: string, level: LogLevel): Log =>
   bunyan.createLogger({ name: 'rhubarbseam', host, level, serializers: { err: bunyan.stdSerializers.err } })
--- a/src/observability/tracing.spec.ts
+++ b/src/observability/tracing.spec.ts
@@ -8,7 +8,7 @@
 import { placesOver } from '../stand-ins/virtualPlaces.js'
 import { Tracing } from './tracing.js'
 
-interface Exported { readonly name: string, readonly traceId: string, readonly spanId: string, readonly parentSpanId?: string }
+interface ExportedSpan { readonly name: string, readonly traceId: string, readonly spanId: string, readonly parentSpanId?: string }
 
 const KEY = 'traced-key-0123456789'
 const TRACE = '0af7651916cd43dd8448eb211c80319c'
@@ -21,20 +21,20 @@
   })
 })
 
-t.test('a span for each hop, below the caller\'s own, and W3C headers on to the backend server', async t => {
-  const spans: Exported[] = []
+t.test('requests and look-ups give spans below the span of the caller, and the backend server gets W3C headers', async t => {
+  const spans: ExportedSpan[] = []
   const collector = createServer((incoming, response) => {
     const chunks: Buffer[] = []
     incoming.on('data', chunk => { chunks.push(chunk as Buffer) })
     incoming.on('end', () => {
-      const body = JSON.parse(Buffer.concat(chunks).toString()) as { resourceSpans: Array<{ scopeSpans: Array<{ spans: Exported[] }> }> }
+      const body = JSON.parse(Buffer.concat(chunks).toString()) as { resourceSpans: Array<{ scopeSpans: Array<{ spans: ExportedSpan[] }> }> }
       spans.push(...body.resourceSpans.flatMap(row => row.scopeSpans).flatMap(row => row.spans))
       response.end('{}')
     })
   })
-  const seen: Array<string | undefined> = []
+  const receivedHeaders: Array<string | undefined> = []
   const backend = createServer((incoming, response) => {
-    seen.push(incoming.headers.traceparent as string | undefined)
+    receivedHeaders.push(incoming.headers.traceparent as string | undefined)
     response.end('done')
   })
   const collectorPort = await listen(collector)
@@ -56,7 +56,7 @@
     body: JSON.stringify({ service: 'coupons', backend: 'b', region: 'n', zone: 'n1', port: backendPort, slots: 4, epoch: 1, sequence: 1, state: 'up' })
   })
   const headers = { authorization: `Bearer ${KEY}`, traceparent: `00-${TRACE}-${PARENT}-01` }
-  // The bucket earns nothing for the length of a loan after a start.
+  // After a start, a token bucket is not refilled for the duration of a loan.
   await new Promise(resolve => setTimeout(resolve, 500))
   const answer = await request(`http://127.0.0.1:${entry.callerPort}/services/coupons/item`, { headers })
   await answer.body.dump()
@@ -66,8 +66,8 @@
   await tracing.stop()
   const byName = new Map(spans.map(span => [span.name, span]))
   t.matchSnapshot([...byName.keys()].sort())
-  t.ok(spans.every(span => span.traceId === TRACE), 'one trace, the caller\'s')
+  t.ok(spans.every(span => span.traceId === TRACE), 'all spans belong to the trace of the caller')
   t.equal(byName.get('request coupons')?.parentSpanId, PARENT)
-  for (const hop of ['admission', 'choice', 'attempt']) t.equal(byName.get(hop)?.parentSpanId, byName.get('request coupons')?.spanId, hop)
-  t.equal(seen[0], `00-${TRACE}-${byName.get('attempt')?.spanId ?? ''}-01`)
+  for (const stage of ['admission', 'choice', 'attempt']) t.equal(byName.get(stage)?.parentSpanId, byName.get('request coupons')?.spanId, stage)
+  t.equal(receivedHeaders[0], `00-${TRACE}-${byName.get('attempt')?.spanId ?? ''}-01`)
 })
--- a/src/observability/tracing.ts
+++ b/src/observability/tracing.ts
@@ -1,4 +1,4 @@
-/** Traces: a span for each hop, exported over OTLP when an endpoint is set and absent otherwise. */
+/** OpenTelemetry tracing: spans of requests, look-ups and their stages, exported over OTLP if an endpoint is set. */
 
 import { ROOT_CONTEXT, SpanKind, SpanStatusCode, trace } from '@opentelemetry/api'
 import type { Context, Span, TextMapGetter } from '@opentelemetry/api'
@@ -18,16 +18,16 @@
   }
 }
 
-/** The trace of one request of a caller. */
+/** The span of a request or look-up, with the context for its child spans. */
 export interface RequestTrace {
   readonly span: Span
   readonly context: Context
 }
 
-/** What a span tells of an attempt, with the times before it in milliseconds. */
+/** The attributes of an attempt span, and the durations of the stages before it in milliseconds. */
 export interface TracedAttempt { readonly attempt: string, readonly backend: string, readonly admissionMs: number, readonly queueMs: number }
 
-/** Makes spans; a process without an endpoint has none of these. */
+/** Creates spans and exports them. */
 export class Tracing {
   readonly #provider: BasicTracerProvider
 
@@ -39,19 +39,19 @@
     })
   }
 
-  /** Starts the span of a request or a look-up, below the caller's own span if it named one. */
+  /** Starts the span of a request or look-up, as a child of the caller's span if the W3C headers name one. */
   startRequest (name: string, headers: IncomingHttpHeaders): RequestTrace {
     const parent = propagator.extract(ROOT_CONTEXT, headers, headerGetter)
     const span = this.#provider.getTracer('rhubarbseam').startSpan(name, { kind: SpanKind.SERVER }, parent)
     return { span, context: trace.setSpan(parent, span) }
   }
 
-  /** Starts the span of a hop inside a request. */
+  /** Starts a child span of a request. `startTime` is in wall-clock milliseconds. */
   startChild (request: RequestTrace, name: string, attributes: Record<string, string | number>, startTime?: number): Span {
     return this.#provider.getTracer('rhubarbseam').startSpan(name, { kind: SpanKind.INTERNAL, attributes, startTime }, request.context)
   }
 
-  /** Starts the span of an attempt, after those of the admission and the choice that led to it. */
+  /** Starts the span of an attempt. Also records the spans of the admission and of the backend choice that preceded it. */
   startAttempt (trace: RequestTrace, { attempt, backend, admissionMs, queueMs }: TracedAttempt): Span {
     const now = Date.now()
     const admittedAt = now - queueMs
@@ -60,15 +60,16 @@
     return this.startChild(trace, 'attempt', { backend, attempt })
   }
 
-  /** Writes the W3C headers of a hop for the backend server. */
+  /** Adds the W3C trace headers of a span to the headers for the backend server. */
   inject (request: RequestTrace, span: Span, headers: Record<string, string | string[]>): void {
     propagator.inject(trace.setSpan(request.context, span), headers, { set: (carrier, key, value) => { carrier[key] = value } })
   }
 
+  /** Exports the remaining spans and stops. */
   async stop (): Promise<void> { await this.#provider.shutdown() }
 }
 
-/** Ends a span with its result. */
+/** Ends a span with a result attribute, and an error status if `isError`. */
 export const endSpan = (span: Span, result: string, isError: boolean): void => {
   span.setAttribute('result', result)
   if (isError) span.setStatus({ code: SpanStatusCode.ERROR, message: result })
--- a/tap-snapshots/src/observability/tracing.spec.ts.test.cjs
+++ b/tap-snapshots/src/observability/tracing.spec.ts.test.cjs
@@ -5,7 +5,7 @@
  * Make sure to inspect the output below.  Do not ignore changes!
  */
 'use strict'
-exports[`src/observability/tracing.spec.ts > TAP > a span for each hop, below the caller's own, and W3C headers on to the backend server > must match snapshot 1`] = `
+exports[`src/observability/tracing.spec.ts > TAP > requests and look-ups give spans below the span of the caller, and the backend server gets W3C headers > must match snapshot 1`] = `
 Array [
   "admission",
   "attempt",
