--- a/src/command-line/joinedLog.spec.ts
+++ b/src/command-line/joinedLog.spec.ts
@@ -33,7 +33,7 @@
   t.matchSnapshot(describeJoined([second, first], 'r3'))
 })
 
-t.test('a request refused without quorum: the host had lost the quorum, and a step of its wall clock does not change the order', async t => {
+t.test('a request refused after the host lost the quorum: the loss is shown, and a step of its wall clock does not change the order', async t => {
   const lines: LoggedEvent[] = [
     { at: 100, event: 'configuration', subject: 'configuration', from: null, to: '1', planVersion: 1, evacuated: '' },
     { at: 9_000, event: 'quorum', subject: 'quorum', from: 'in touch', to: 'out of touch', ageMs: 3_010 },
--- a/tap-snapshots/src/command-line/joinedLog.spec.ts.test.cjs
+++ b/tap-snapshots/src/command-line/joinedLog.spec.ts.test.cjs
@@ -13,18 +13,18 @@
 ]
 `
 
-exports[`src/command-line/joinedLog.spec.ts > TAP > a request refused under load: its refusal, the earlier loss of a server, and the configuration in force > must match snapshot 1`] = `
+exports[`src/command-line/joinedLog.spec.ts > TAP > a request refused after the host lost the quorum: the loss is shown, and a step of its wall clock does not change the order > must match snapshot 1`] = `
 Array [
-  "2026-01-01T00:00:01.000Z n1 configuration configuration from=6 to=7 planVersion=7",
-  "2026-01-01T00:00:04.000Z n1 backend s/one from=up to=gone zone=n epoch=1 sequence=9",
-  "2026-01-01T00:00:04.200Z n1 refused r1 service=s profile=plan@7 reason=overloaded waitedMs=37.5 queued=12",
+  "2026-01-01T00:00:00.100Z n1 configuration configuration to=1 planVersion=1",
+  "2026-01-01T00:00:09.000Z n1 quorum quorum from=\\"in touch\\" to=\\"out of touch\\" ageMs=3010",
+  "2026-01-01T00:00:09.900Z n1 refused r4 reason=configuration-stale configurationIndex=1 configurationAgeMs=3910",
 ]
 `
 
-exports[`src/command-line/joinedLog.spec.ts > TAP > a request refused without quorum: the host had lost the quorum, and a step of its wall clock does not change the order > must match snapshot 1`] = `
+exports[`src/command-line/joinedLog.spec.ts > TAP > a request refused under load: its refusal, the earlier loss of a server, and the configuration in force > must match snapshot 1`] = `
 Array [
-  "2026-01-01T00:00:00.100Z n1 configuration configuration to=1 planVersion=1",
-  "2026-01-01T00:00:09.000Z n1 quorum quorum from=\\"in touch\\" to=\\"out of touch\\" ageMs=3010",
-  "2026-01-01T00:00:09.900Z n1 refused r4 reason=configuration-stale configurationIndex=1 configurationAgeMs=3910",
+  "2026-01-01T00:00:01.000Z n1 configuration configuration from=6 to=7 planVersion=7",
+  "2026-01-01T00:00:04.000Z n1 backend s/one from=up to=gone zone=n epoch=1 sequence=9",
+  "2026-01-01T00:00:04.200Z n1 refused r1 service=s profile=plan@7 reason=overloaded waitedMs=37.5 queued=12",
 ]
 `
