--- a/src/command-line/joinedLog.ts
+++ b/src/command-line/joinedLog.ts
@@ -28,7 +28,7 @@
 /** The text of one log, one JSON object per line. */
 export type LogText = string
 
-/** Events of servers and hosts are included from this long before the last line of the request. */
+/** Events of servers and hosts are included if they happened within this time before the last line of the request. */
 const RELATED_EVENTS_WINDOW_MS = 10_000
 /** Fields of every line. Not printed as facts. */
 const COMMON_FIELDS: ReadonlySet<string> = new Set(['v', 'level', 'name', 'hostname', 'pid', 'msg', 'time', 'host', 'event', 'subject', 'at'])
@@ -53,7 +53,8 @@
 
 const processOf = (line: EventLine): string => `${line.host}/${line.pid}`
 
-// Returns the wall-clock time of the origin of each monotonic clock. A wall clock may step, a monotonic clock does not: the median of their differences ignores the steps.
+// Returns the wall-clock time of the origin of each process's monotonic clock. A wall clock may step, a monotonic clock does not: the
+// median of their differences ignores the steps.
 const estimateClockOrigins = (lines: readonly EventLine[]): ReadonlyMap<string, number> => {
   const offsets = new Map<string, number[]>()
   for (const line of lines) {
@@ -90,13 +91,13 @@
   return joined.sort((a, b) => a.atMs - b.atMs)
 }
 
-const quoteSpaces = (value: string): string => value.includes(' ') ? JSON.stringify(value) : value
+const quoteIfNeeded = (value: string): string => value.includes(' ') ? JSON.stringify(value) : value
 
 /** Formats a line as text: time, host, event, subject and facts. */
 export const describeLine = ({ atMs, line }: JoinedLine): string => {
   const facts: string[] = []
   for (const [name, value] of Object.entries(line)) {
-    if (!COMMON_FIELDS.has(name) && value !== null && value !== '') facts.push(`${name}=${quoteSpaces(String(value))}`)
+    if (!COMMON_FIELDS.has(name) && value !== null && value !== '') facts.push(`${name}=${quoteIfNeeded(String(value))}`)
   }
   return [new Date(atMs).toISOString(), line.host, line.event, line.subject, ...facts].join(' ')
 }
--- a/src/command-line/operatorClient.ts
+++ b/src/command-line/operatorClient.ts
@@ -1,4 +1,7 @@
-/** HTTP client for operators' commands. Tries the control hosts until the leader answers. A resend with the same request id returns the first outcome. */
+/**
+ * HTTP client for operators' commands. Tries the control hosts until the leader answers. A resend with the same request id
+ * returns the first outcome.
+ */
 
 import { readFileSync } from 'node:fs'
 import { request } from 'undici'
--- a/src/control/controlOutbox.ts
+++ b/src/control/controlOutbox.ts
@@ -15,7 +15,7 @@
   readonly onDiskFailure: (error: unknown) => void
 }
 
-/** Holds back messages until the records before them are synced. Records queued during a write are written together in the next one. */
+/** Holds back `afterSync` messages until the records before them are synced. Records queued during a write share the next one. */
 export class ControlOutbox {
   #records: DiskRecord[] = []
   #sequence = 0
--- a/src/control/controlProcess.ts
+++ b/src/control/controlProcess.ts
@@ -56,7 +56,10 @@
   return createReplica(settings.dataFolder, foundingImage(toId<ReplicaId>(`${settings.host}#0`), group))
 }
 
-/** Returns a getter that reloads the operators at most once per interval, so that they can change without a restart. If the file is unusable, the last valid operators stay in use. */
+/**
+ * Returns a getter that reloads the operators at most once per interval, so that they can change without a restart.
+ * If the file is unusable, the last valid operators stay in use.
+ */
 const watchOperators = (path: string, initial: readonly Operator[]): () => readonly Operator[] => {
   let operators = initial
   let loadedAt = monotonicClock()
--- a/src/control/controlRuntime.ts
+++ b/src/control/controlRuntime.ts
@@ -58,7 +58,8 @@
   createFrontEnd (context: ControlContext): ControlFrontEnd
 }
 
-// An empty folder gets a new replica id, which must be admitted to the group first: it must not vote in place of a replica whose disk was lost.
+// An empty folder gets a new replica id, which must be admitted to the group first: it must not vote in place of a replica whose disk
+// was lost.
 const openStore = ({ dataFolder, self, founders }: ControlRuntimeOptions): ReturnType<typeof DiskStore.open> => {
   if (!hasReplica(dataFolder)) {
     const image = founders === null
--- a/src/entry/readiness.ts
+++ b/src/entry/readiness.ts
@@ -12,10 +12,14 @@
   return false
 }
 
-/** Returns whether the host is ready: it has a confirmed configuration, an available backend server and token buckets that refill, and is not shutting down. */
+/**
+ * Returns whether the host is ready: it has a confirmed configuration, an available backend server and token buckets that
+ * refill, and is not shutting down.
+ */
 export const isReady = (tables: EntryTables, now: Millis): boolean => {
   const { lifecycle, gossip, configuration, homeHistory } = tables
   if (lifecycle.phase !== 'serving' || gossip.confirmedAt === null || configuration.services.size === 0) return false
-  // Token buckets are not refilled until every loan made before a restart has ended. Until then nearly every request would be refused as over its rate.
+  // Token buckets are not refilled until every loan made before a restart has ended. Until then nearly every request would be
+  // refused as over its rate.
   return now >= loanEnd(homeHistory.startedAt) && hasAvailableServer(tables)
 }
--- a/src/observability/metrics.ts
+++ b/src/observability/metrics.ts
@@ -44,7 +44,10 @@
   }
 }
 
-/** Serves the metrics at /metrics and, where `explain` is given, the journal at /explain. `refresh` updates the gauges before each scrape. Rejects if the address cannot be bound. */
+/**
+ * Serves the metrics at /metrics and, if `explain` is given, the journal at /explain. `refresh` updates the gauges before each
+ * scrape. Rejects if the address cannot be bound.
+ */
 export const serveMetrics = async (metrics: Metrics, listen: Address, refresh: () => void, explain?: (subject: string | null) => unknown): Promise<Server> => {
   const server = createServer((request, response) => {
     const url = new URL(request.url ?? '/', 'http://localhost')
--- a/src/process/launcher.ts
+++ b/src/process/launcher.ts
@@ -23,7 +23,8 @@
   }
 }
 
-// Compiles all functions, also those that do not run at the start. V8 accepts a cache only under the flags of the process that made it.
+// Compiles all functions, also those that do not run at the start. V8 rejects a cache that was made under other flags, so the default is
+// restored before the cache is created.
 const makeCache = (file: string): void => {
   setFlagsFromString('--no-lazy')
   const script = new Script(wrapProgram(), { filename: PROGRAM_FILE })
