--- a/src/entry/entryProcess.ts
+++ b/src/entry/entryProcess.ts
@@ -5,7 +5,7 @@
 import type { Outcome } from '../core/outcome.js'
 import { AnnouncementServer } from '../front-end/announcementServer.js'
 import { CallerServer } from '../front-end/callerServer.js'
-import { ServiceDialect } from '../front-end/serviceDialect.js'
+import { ServiceProtocol } from '../front-end/serviceProtocol.js'
 import { BlockTable, parseBlock } from '../lookup/blockTable.js'
 import type { ClientBlock } from '../lookup/blockTable.js'
 import { createMember } from '../membership/createMember.js'
@@ -49,7 +49,7 @@
 const createFrontEnd = (settings: EntrySettings, announcementKeys: SecretFile, context: EntryContext): EntryFrontEnd => {
   const { tables, metrics, tracing, push, isLeaving } = context
   const { host, epoch } = tables.gossip.self
-  const callerServer = new CallerServer({ host: `${host}-${epoch.toString(36)}`, listen: settings.callers, dialect: new ServiceDialect(), limits: settings.limits, metrics, tracing, push, isLeaving })
+  const callerServer = new CallerServer({ host: `${host}-${epoch.toString(36)}`, listen: settings.callers, protocol: new ServiceProtocol(), limits: settings.limits, metrics, tracing, push, isLeaving })
   const announcementServer = new AnnouncementServer({ listen: settings.announcements, tokens: () => announcementKeys.lines(), metrics, push, peers: () => findAnnouncementPeers(tables) })
   return {
     listeners: [
