--- a/src/front-end/callerServer.ts
+++ b/src/front-end/callerServer.ts
@@ -7,7 +7,7 @@
 import { toId } from '../core/id.js'
 import type { AttemptId, ExchangeId } from '../core/id.js'
 import type { EntryInput, EntryOutput } from '../entry/types.js'
-import type { AttemptResult, AttemptStarted, Refused } from '../exchange/types.js'
+import type { AttemptResult, AttemptStarted, RequestRefused } from '../exchange/types.js'
 import { digestKey } from '../key-check/keyCheck.js'
 import type { LookupAnswered, LookupId } from '../lookup/types.js'
 import { parseTicket } from '../idempotency/recordHomes.js'
@@ -191,7 +191,7 @@
     if (trace !== null) endSpan(trace.span, outcome, !isWhole || response.statusCode >= 500)
   }
 
-  #refuse (row: Refused): void {
+  #refuse (row: RequestRefused): void {
     const exchange = this.#exchanges.get(row.exchange)
     if (exchange === undefined) return
     this.options.metrics.refusals.inc({ reason: row.reason, ran: row.ran })
--- a/src/front-end/serviceDialect.ts
+++ b/src/front-end/serviceDialect.ts
@@ -3,7 +3,7 @@
 import type { IncomingHttpHeaders, IncomingMessage, ServerResponse } from 'node:http'
 import { toId } from '../core/id.js'
 import type { ServiceId } from '../core/id.js'
-import type { AttemptStarted, Refused } from '../exchange/types.js'
+import type { AttemptStarted, RequestRefused } from '../exchange/types.js'
 import { createTicket } from '../idempotency/recordHomes.js'
 import { parseAddress } from '../lookup/blockTable.js'
 import type { LookupAnswered } from '../lookup/types.js'
@@ -63,7 +63,7 @@
 
   announce (response: ServerResponse, exchange: string): void { response.setHeader('rhubarbseam-exchange', exchange) }
 
-  refuse (_request: IncomingMessage, response: ServerResponse, refusal: Refused, closes: boolean): void {
+  refuse (_request: IncomingMessage, response: ServerResponse, refusal: RequestRefused, closes: boolean): void {
     const { reason, ran, retryAfterMs, alternatives } = refusal
     response.setHeader('rhubarbseam-reason', reason)
     response.setHeader('rhubarbseam-ran', ran)
