--- a/src/affinity/affinity.spec.ts
+++ b/src/affinity/affinity.spec.ts
@@ -89,7 +89,7 @@
 t.test('preferred servers are in the zone if it has enough servers, else in the region, else in any region', async t => {
   const preferred = (among: readonly BackendRow[]): unknown => {
     const { first, second, remote } = findPreferredServers(among, self, 'read/7')
-    return { first: first?.key, second: second?.key, remote: remote?.key }
+    return { first: first?.key, second: second?.key, far: remote?.key }
   }
   t.matchSnapshot({ zone: preferred(servers), region: preferred(servers.slice(1)), elsewhere: preferred(servers.slice(3)), none: preferred([]) })
 })
--- a/src/backend-choice/backendChoice.ts
+++ b/src/backend-choice/backendChoice.ts
@@ -51,8 +51,8 @@
     let best: BackendRow | undefined
     let lowestCost = Number.POSITIVE_INFINITY
     for (const row of input.candidates) {
-      // Sending an object to further servers evicts other objects from their caches, and requests for those then take several
-      // times longer.
+      // Servers without affinity to the object are skipped. Sending it to more servers evicts other objects from their caches,
+      // and requests for those then take several times longer.
       const affinity = input.affinityOf(row)
       if (input.concernsObject && affinity === 'none') continue
       // A random part breaks ties, so that hosts with the same data do not all choose the same server.
--- a/src/warmup/warmupLimit.ts
+++ b/src/warmup/warmupLimit.ts
@@ -29,7 +29,7 @@
 /** Returns whether a server is cold, that is, limited to its warm-up rate. */
 export const isCold = (row: BackendRow, now: Millis): boolean => row.coldUntil > now
 
-/** Returns whether this host may send one more request to a cold server. Drops recorded sends older than one second. */
+/** Returns whether this host may send one more request to a cold server; always true for services without a warm-up rate. */
 export const maySendToCold = (tables: WarmupLimitTables, row: BackendRow, now: Millis): boolean => {
   const warmup = tables.configuration.services.get(row.announcement.service)?.warmup ?? null
   if (warmup === null) return true
--- a/tap-snapshots/src/exchange/overload.spec.ts.test.cjs
+++ b/tap-snapshots/src/exchange/overload.spec.ts.test.cjs
@@ -5,7 +5,7 @@
  * Make sure to inspect the output below.  Do not ignore changes!
  */
 'use strict'
-exports[`src/exchange/overload.spec.ts > TAP > a host that is behind with its work refuses new requests at once and sends none on > must match snapshot 1`] = `
+exports[`src/exchange/overload.spec.ts > TAP > a host that is short of CPU time refuses new requests at once > must match snapshot 1`] = `
 Object {
   "atOnce": "admitted",
   "atTheLimit": "admitted",
--- a/tap-snapshots/src/retry-budget/retryBudget.spec.ts.test.cjs
+++ b/tap-snapshots/src/retry-budget/retryBudget.spec.ts.test.cjs
@@ -5,7 +5,7 @@
  * Make sure to inspect the output below.  Do not ignore changes!
  */
 'use strict'
-exports[`src/retry-budget/retryBudget.spec.ts > TAP > without a shared budget sheds are free and failures are saved up for > must match snapshot 1`] = `
+exports[`src/retry-budget/retryBudget.spec.ts > TAP > without a fleet-wide budget, retries after sheds are free and retries after failures are limited > must match snapshot 1`] = `
 Object {
   "afterOneSuccess": false,
   "granted": 50,
--- a/tap-snapshots/src/shift/shift.spec.ts.test.cjs
+++ b/tap-snapshots/src/shift/shift.spec.ts.test.cjs
@@ -5,7 +5,7 @@
  * Make sure to inspect the output below.  Do not ignore changes!
  */
 'use strict'
-exports[`src/shift/shift.spec.ts > TAP > a region loses its servers: traffic leaves under the cap and comes back under the cap > capped 1`] = `
+exports[`src/shift/shift.spec.ts > TAP > when a region loses its servers, traffic moves away and back under the cap > capped 1`] = `
 Array [
   "away 0 %, refused 0 %",
   "away 18 %, refused 82 %",
@@ -24,7 +24,7 @@
 ]
 `
 
-exports[`src/shift/shift.spec.ts > TAP > a region loses its servers: traffic leaves under the cap and comes back under the cap > uncapped 1`] = `
+exports[`src/shift/shift.spec.ts > TAP > when a region loses its servers, traffic moves away and back under the cap > uncapped 1`] = `
 Array [
   "away 0 %, refused 0 %",
   "away 94 %, refused 6 %",
--- a/tap-snapshots/src/suspicion/containment.spec.ts.test.cjs
+++ b/tap-snapshots/src/suspicion/containment.spec.ts.test.cjs
@@ -5,7 +5,7 @@
  * Make sure to inspect the output below.  Do not ignore changes!
  */
 'use strict'
-exports[`src/suspicion/containment.spec.ts > TAP > a request that crashes its servers runs on three of them at most, through whichever host it comes > GET 1`] = `
+exports[`src/suspicion/containment.spec.ts > TAP > a request that crashes servers runs on at most three of them, whichever hosts it arrives at > GET 1`] = `
 Array [
   "refused attempt-failed (unknown)",
   "refused crash-suspect (not-run)",
@@ -18,7 +18,7 @@
 ]
 `
 
-exports[`src/suspicion/containment.spec.ts > TAP > a request that crashes its servers runs on three of them at most, through whichever host it comes > POST 1`] = `
+exports[`src/suspicion/containment.spec.ts > TAP > a request that crashes servers runs on at most three of them, whichever hosts it arrives at > POST 1`] = `
 Array [
   "refused outcome-unknown (unknown)",
   "refused outcome-unknown (unknown)",
