--- a/src/affinity/affinity.spec.ts
+++ b/src/affinity/affinity.spec.ts
@@ -86,7 +86,7 @@
 const servers = [server('n1', 1), server('n1', 2), server('n2', 1), server('m1', 1), server('m1', 2)]
 const self = { zone: 'n1', region: 'n' } as unknown as Parameters<typeof findPreferredServers>[1]
 
-t.test('preferred servers are in the zone if it has enough servers, else in the region, else in any region', async t => {
+t.test('an object has its preferred servers in the zone if it has enough servers, else in the region, else in any region', async t => {
   const preferred = (among: readonly BackendRow[]): unknown => {
     const { first, second, remote } = findPreferredServers(among, self, 'read/7')
     return { first: first?.key, second: second?.key, far: remote?.key }
--- a/tap-snapshots/src/affinity/affinity.spec.ts.test.cjs
+++ b/tap-snapshots/src/affinity/affinity.spec.ts.test.cjs
@@ -5,28 +5,7 @@
  * Make sure to inspect the output below.  Do not ignore changes!
  */
 'use strict'
-exports[`src/affinity/affinity.spec.ts > TAP > objects are distributed over healthy servers, and over all servers in service if none is healthy > must match snapshot 1`] = `
-Object {
-  "all": Array [
-    "a",
-    "b",
-    "c",
-    "d",
-  ],
-  "noneSound": Array [
-    "a",
-    "b",
-    "c",
-    "d",
-  ],
-  "withoutEjectedAndCold": Array [
-    "c",
-    "d",
-  ],
-}
-`
-
-exports[`src/affinity/affinity.spec.ts > TAP > preferred servers are in the zone if it has enough servers, else in the region, else in any region > must match snapshot 1`] = `
+exports[`src/affinity/affinity.spec.ts > TAP > an object has its preferred servers in the zone if it has enough servers, else in the region, else in any region > must match snapshot 1`] = `
 Object {
   "elsewhere": Object {
     "far": "s/m1-1",
@@ -50,3 +29,24 @@
   },
 }
 `
+
+exports[`src/affinity/affinity.spec.ts > TAP > objects are distributed over healthy servers, and over all servers in service if none is healthy > must match snapshot 1`] = `
+Object {
+  "all": Array [
+    "a",
+    "b",
+    "c",
+    "d",
+  ],
+  "noneSound": Array [
+    "a",
+    "b",
+    "c",
+    "d",
+  ],
+  "withoutEjectedAndCold": Array [
+    "c",
+    "d",
+  ],
+}
+`
