Wording of the folders that decide: exchanges, choice of server, affinity, warm-up, shift, retries, suspicion, refusal

Names are the terms of the field (FIFO queue, power of two choices, retry budget, constraints, warm-up limit); constants carry their unit; reasons behind rules and constants are kept in one or two plain sentences.

--- a/src/affinity/objectHomes.ts
+++ b/src/affinity/objectHomes.ts
@@ -1,44 +1,44 @@
-/** Names the backend servers that an object is sent to first; all hosts of a region name the same ones without talking to each other. */
+/** Selects the preferred backend servers of an object by rendezvous hashing, so that all hosts of a region select the same ones without coordination. */
 
 import type { BackendRow } from '../announcement/types.js'
 import { rendezvousWeight } from '../core/rendezvous.js'
 import type { Member } from '../membership/types.js'
 
-/** A zone with fewer servers of a service shares its objects among those of the whole region: one server could not remember all. */
-const FEWEST_OF_ZONE = 2
-/** In a region with fewer servers a second home would make each of them know all objects, which is more than they remember. */
-const FEWEST_OF_REGION = 3
+/** A zone with fewer servers distributes objects over the whole region, because one server cannot cache all of them. */
+const MIN_ZONE_SERVERS = 2
+/** In a region with fewer servers there is no second choice, because each server would then have to cache all objects. */
+const MIN_REGION_SERVERS = 3
 
-/** The servers that an object is sent to first, and where those have no room: another one of the region, and one outside it. */
-export interface ObjectHomes {
+/** The server that an object is sent to first, and where that has no capacity, a second one in the region and one outside it. */
+export interface PreferredServers {
   readonly first: BackendRow | undefined
   readonly second: BackendRow | undefined
-  readonly far: BackendRow | undefined
+  readonly remote: BackendRow | undefined
 }
 
-const NOWHERE: ObjectHomes = { first: undefined, second: undefined, far: undefined }
+const NO_SERVERS: PreferredServers = { first: undefined, second: undefined, remote: undefined }
 
-const best = (object: string, servers: readonly BackendRow[], except: BackendRow | undefined): BackendRow | undefined => {
-  let found: BackendRow | undefined
-  let greatest = -1
+const findHighestRanked = (object: string, servers: readonly BackendRow[], except: BackendRow | undefined): BackendRow | undefined => {
+  let highest: BackendRow | undefined
+  let highestWeight = -1
   for (const row of servers) {
     if (row === except) continue
     const weight = rendezvousWeight(object, row.key)
-    if (weight <= greatest) continue
-    greatest = weight
-    found = row
+    if (weight <= highestWeight) continue
+    highestWeight = weight
+    highest = row
   }
-  return found
+  return highest
 }
 
-/** The homes of an object among the live servers of its service: in this zone if it has some, else in this region, else anywhere. */
-export const findHomes = (servers: readonly BackendRow[], self: Member, object: string): ObjectHomes => {
-  if (servers.length === 0) return NOWHERE
+/** Returns the preferred servers of an object among those of its service. The first one is in this zone if the zone has enough servers, else in this region, else in any region. */
+export const findPreferredServers = (servers: readonly BackendRow[], self: Member, object: string): PreferredServers => {
+  if (servers.length === 0) return NO_SERVERS
   const region = servers.filter(row => row.announcement.region === self.region)
   const zone = region.filter(row => row.announcement.zone === self.zone)
-  const near = zone.length >= FEWEST_OF_ZONE ? zone : region.length > 0 ? region : servers
-  const first = best(object, near, undefined)
-  const far = servers.filter(row => row.announcement.region !== self.region)
-  const second = region.length >= FEWEST_OF_REGION ? best(object, region, first) : undefined
-  return { first, second, far: best(object, far, first) }
+  const local = zone.length >= MIN_ZONE_SERVERS ? zone : region.length > 0 ? region : servers
+  const first = findHighestRanked(object, local, undefined)
+  const outside = servers.filter(row => row.announcement.region !== self.region)
+  const second = region.length >= MIN_REGION_SERVERS ? findHighestRanked(object, region, first) : undefined
+  return { first, second, remote: findHighestRanked(object, outside, first) }
 }
--- a/src/entry/readiness.ts
+++ b/src/entry/readiness.ts
@@ -1,13 +1,13 @@
 /** Readiness of an entry host. */
 
 import { loanEnd } from '../admission/allowanceBucket.js'
-import { findOutage } from '../backend-choice/candidates.js'
+import { findOutOfServiceReason } from '../backend-choice/candidates.js'
 import type { Millis } from '../core/tick.js'
 import type { EntryTables } from './types.js'
 
 const hasAvailableServer = (tables: EntryTables): boolean => {
   for (const row of tables.backends.rows()) {
-    if (findOutage(tables, row) === null) return true
+    if (findOutOfServiceReason(tables, row) === null) return true
   }
   return false
 }
--- a/src/entry/routedPolicies.ts
+++ b/src/entry/routedPolicies.ts
@@ -1,13 +1,13 @@
 /** The policies of entry hosts that serve requests by route. */
 
-import type { FleetBudget } from '../retry-budget/retryBudget.js'
+import type { FleetRetryLimits } from '../retry-budget/retryBudget.js'
 import type { PolicySettings } from './entryWorld.js'
 
 /** Fraction of the retry budget that is used, because hosts may temporarily see different fleet sizes. */
 const RETRY_BUDGET_FRACTION = 0.7
 
 /** Returns the policies for a retry budget. A request is sent once under its id, so no idempotency records are kept on other hosts. */
-export const routedPolicies = ({ ratio, slack }: FleetBudget): PolicySettings => ({
+export const routedPolicies = ({ ratio, slack }: FleetRetryLimits): PolicySettings => ({
   allowance: 'frugal-lending',
   choice: 'expected-latency',
   queue: 'ranked-max-min',
--- a/src/exchange/placementCount.ts
+++ b/src/exchange/placementCount.ts
@@ -1,19 +1,19 @@
-/** Counts requests and their places in the shift accounts. */
+/** Counts requests, and the regions that they run in, in the shift accounts. */
 
 import type { RegionId, ServiceId } from '../core/id.js'
 import { findTerms } from '../configuration/configurationTables.js'
-import { awayByCapacity } from '../shift/capacityPlan.js'
-import { findAwayLimit, findShift, openShift, shiftSubjectOf } from '../shift/shiftAccount.js'
+import { overflowFraction } from '../shift/capacityOverflow.js'
+import { findAwayLimit, findShiftAccount, openShiftAccount, shiftSubjectOf } from '../shift/shiftAccount.js'
 import type { ShiftTables } from '../shift/types.js'
-import { profileOf } from './refusalNote.js'
+import { profileLabel } from './refusalJournal.js'
 import type { AnnouncementTables } from '../announcement/types.js'
-import type { NoteTick } from './refusalNote.js'
+import type { JournalTick } from './refusalJournal.js'
 import type { ExchangeRow } from './types.js'
 
-/** What counting needs of a tick. */
-export interface PlacementTick extends NoteTick { readonly tables: NoteTick['tables'] & ShiftTables & AnnouncementTables }
+/** The parts of a tick that are needed to count requests. */
+export interface PlacementTick extends JournalTick { readonly tables: JournalTick['tables'] & ShiftTables & AnnouncementTables }
 
-/** Counts requests that have joined the queue: traffic belongs to the window in which it asked, however long it waits. */
+/** Counts requests that have joined the queue in the current window, however long they then wait for a server. */
 export const countDemand = (tick: PlacementTick, service: ServiceId, queued: readonly ExchangeRow[]): void => {
   const terms = findTerms(tick.tables.configuration, service)
   if (terms === null) return
@@ -21,17 +21,17 @@
     if (exchange.placement !== 'uncounted' || exchange.allowedRegions.length > 0) continue
     exchange.placement = 'unplaced'
     const subject = shiftSubjectOf(exchange)
-    if (exchange.route !== null && !tick.tables.shifts.has(subject)) openShift(tick.tables, subject, awayByCapacity(tick.tables, null, tick.tables.gossip.self.region), tick.now)
-    findShift(tick.tables, subject, terms.shiftWindowMs, tick.now).total += 1
+    if (exchange.route !== null && !tick.tables.shifts.has(subject)) openShiftAccount(tick.tables, subject, overflowFraction(tick.tables, null, tick.tables.gossip.self.region), tick.now)
+    findShiftAccount(tick.tables, subject, terms.shiftWindowMs, tick.now).total += 1
   }
 }
 
-/** Counts where an attempt goes; an attempt after the first changes the account only by going away. */
+/** Counts the region that an attempt runs in. A retry changes the account only if it moves the request to another region. */
 export const countPlacement = (tick: PlacementTick, exchange: ExchangeRow, region: RegionId): void => {
   const { tables, now } = tick
   const terms = findTerms(tables.configuration, exchange.service)
   if (terms === null || exchange.allowedRegions.length > 0) return
-  const account = findShift(tables, shiftSubjectOf(exchange), terms.shiftWindowMs, now)
+  const account = findShiftAccount(tables, shiftSubjectOf(exchange), terms.shiftWindowMs, now)
   exchange.isAway = region !== tables.gossip.self.region
   if (!exchange.isAway) {
     if (exchange.placement === 'unplaced') account.home += 1
@@ -43,5 +43,5 @@
   exchange.placement = 'away'
   findAwayLimit(tables, exchange.service, region).running += 1
   const { total, away, baseline } = account
-  tables.journal.append({ at: now, event: 'shift', subject: exchange.exchange, facts: { service: exchange.service, to: region, total, away, baseline }, profile: profileOf(tables, exchange.service) })
+  tables.journal.append({ at: now, event: 'shift', subject: exchange.exchange, facts: { service: exchange.service, to: region, total, away, baseline }, profile: profileLabel(tables, exchange.service) })
 }
--- a/src/exchange/stopSystem.ts
+++ b/src/exchange/stopSystem.ts
@@ -1,38 +1,38 @@
-/** A planned stop: leave the answers to look-ups first, serve on while callers may hold them, then finish what runs. */
+/** Graceful shutdown: leaves the look-up answers, still accepts requests while callers may hold cached answers, then completes the running exchanges. */
 
 import { NEVER } from '../core/tick.js'
 import type { Millis, System, Tick } from '../core/tick.js'
 import { memberTopic } from '../membership/memberTopic.js'
 import type { RumorTables } from '../membership/rumorTopic.js'
 import { spreadRumor } from '../membership/spreadRumor.js'
-import { LEAVING } from './lifecycle.js'
-import type { ExchangeTables, Stopped, StopRequested } from './types.js'
+import { LEAVING_PERIOD_MS } from './lifecycle.js'
+import type { ExchangeTables, ShutdownCompleted, StopRequested } from './types.js'
 
 type StopTables = ExchangeTables & RumorTables
 type StopInput = StopRequested | { readonly kind: 'other' }
-type StopTick = Tick<StopTables, StopInput, Stopped>
+type StopTick = Tick<StopTables, StopInput, ShutdownCompleted>
 
-/** The system of planned stops. */
-export class StopSystem implements System<StopTables, StopInput, Stopped> {
+/** Runs the graceful shutdown. */
+export class StopSystem implements System<StopTables, StopInput, ShutdownCompleted> {
   readonly name = 'stop'
 
   run (tick: StopTick): void {
     for (const row of tick.inbox) {
-      if (row.kind === 'stop') this.#leave(tick)
+      if (row.kind === 'stop') this.#startLeaving(tick)
     }
     const { lifecycle, exchanges } = tick.tables
     if (lifecycle.phase !== 'leaving') return
-    if (tick.now < lifecycle.leavingAt + LEAVING || exchanges.size > 0) return
+    if (tick.now < lifecycle.leavingAt + LEAVING_PERIOD_MS || exchanges.size > 0) return
     lifecycle.phase = 'stopped'
     tick.emit({ kind: 'stopped' })
   }
 
   deadline (tables: StopTables): Millis {
     const { lifecycle, exchanges } = tables
-    return lifecycle.phase === 'leaving' && exchanges.size === 0 ? lifecycle.leavingAt + LEAVING : NEVER
+    return lifecycle.phase === 'leaving' && exchanges.size === 0 ? lifecycle.leavingAt + LEAVING_PERIOD_MS : NEVER
   }
 
-  #leave (tick: StopTick): void {
+  #startLeaving (tick: StopTick): void {
     const { lifecycle, gossip, members } = tick.tables
     if (lifecycle.phase !== 'serving') return
     lifecycle.phase = 'leaving'
--- a/src/front-end/callerProtocol.ts
+++ b/src/front-end/callerProtocol.ts
@@ -2,7 +2,7 @@
 
 import type { IncomingHttpHeaders, IncomingMessage, ServerResponse } from 'node:http'
 import type { ReportedLoad } from '../announcement/types.js'
-import type { AttemptStarted, Refused, RequestTarget } from '../exchange/types.js'
+import type { AttemptStarted, RequestRefused, RequestTarget } from '../exchange/types.js'
 import type { LookupAnswered, LookupReceived } from '../lookup/types.js'
 
 /** A caller's request for a backend server, parsed by its protocol. */
@@ -48,7 +48,7 @@
   /** Sets headers on the response to an accepted request, before the response is sent. */
   prepareResponse (response: ServerResponse, exchange: string): void
   /** Sends a refusal, and closes the connection after it where `shouldClose` is set. */
-  refuse (request: IncomingMessage, response: ServerResponse, refusal: Refused, shouldClose: boolean): void
+  refuse (request: IncomingMessage, response: ServerResponse, refusal: RequestRefused, shouldClose: boolean): void
   /** Sends the result of a look-up. */
   answerLookup (response: ServerResponse, result: LookupAnswered): void
 }
--- a/src/refusal/refusal.ts
+++ b/src/refusal/refusal.ts
@@ -1,13 +1,13 @@
-/** Refusals: the status and the truth about whether the request ran. */
+/** HTTP status, retry delay and execution state of each refusal reason. */
 
 import type { ExchangeId } from '../core/id.js'
 import type { Millis } from '../core/tick.js'
 import type { RankedHost } from '../lookup/types.js'
-import type { Ran, Refused, RefusalReason } from '../exchange/types.js'
+import type { Execution, RequestRefused, RefusalReason } from '../exchange/types.js'
 
 interface RefusalDefinition {
   readonly status: number
-  readonly ran: Ran
+  readonly ran: Execution
   readonly retryAfterMs: Millis | null
 }
 
@@ -37,12 +37,12 @@
   'crash-suspect': { status: 503, ran: 'not-run', retryAfterMs: null }
 }
 
-/** Builds a refusal. A caller may only override `ran` towards unknown, never towards a proof that it lacks. */
+/** Returns a refusal. `ran` overrides the default of the reason. It may be `not-run` only if the request provably has not run. */
 export const createRefusal = (
   exchange: ExchangeId,
   reason: RefusalReason,
-  options: { ran?: Ran, alternatives?: readonly RankedHost[] } = {}
-): Refused => {
+  options: { ran?: Execution, alternatives?: readonly RankedHost[] } = {}
+): RequestRefused => {
   const { status, ran, retryAfterMs } = refusalRegistry[reason]
   return { kind: 'refuse', exchange, status, reason, ran: options.ran ?? ran, retryAfterMs, alternatives: options.alternatives ?? [] }
 }
--- a/src/warmup/coldGate.spec.ts
+++ b/src/warmup/warmupLimit.spec.ts
@@ -8,12 +8,12 @@
 import { VirtualEntry } from '../stand-ins/virtualEntry.js'
 import { placesOver } from '../stand-ins/virtualPlaces.js'
 import { VirtualFleet } from '../stand-ins/virtualFleet.js'
-import { noteColdStart } from './coldGate.js'
+import { recordColdSend } from './warmupLimit.js'
 
 const RATE = 10
-const OVERAGE = 1.5
+const TOLERANCE = 1.5
 
-t.test('all hosts together keep to the warm-up rate of a cold server, on both sides of a cut', async t => {
+t.test('all hosts together keep to the warm-up rate of a cold server without communicating', async t => {
   const places = placesOver(['n', 's'], 2, 5)
   const fleet = new VirtualFleet(5)
   const entry = new VirtualEntry(fleet, places, new ConfigurationBuilder().profile(ordinaryTerms).service('lookup').hosts(places).workspace('w', 100, 50).snapshot())
@@ -27,18 +27,18 @@
     if (service !== undefined) tables.configuration.services.put({ ...service, warmup: { coldMs: 5_000, ratePerS: RATE } })
     mergeAnnouncement(tables, cold, fleet.now)
   }
-  // Every host would send a request each 5 ms if it might.
+  // Every host tries to send a request every 5 ms.
   for (let step = 0; step < 600; step += 1) {
     const now = fleet.now + step * 5
     for (const place of places) {
       const tables = entry.tables(place.host)
       const [row] = findCandidates(tables, { service: toId<ServiceId>('lookup'), excluded: new Set(), isFirstRank: true, allowedRegions: [] }, now)
       if (row === undefined) continue
-      noteColdStart(row, now)
+      recordColdSend(row, now)
       recent.push(now)
     }
     most = Math.max(most, recent.filter(at => now - at < 1_000).length)
   }
   t.ok(most > 0, 'a cold server is used')
-  t.ok(most <= RATE * OVERAGE, `${most} in one second`)
+  t.ok(most <= RATE * TOLERANCE, `${most} in one second`)
 })
