--- a/src/beliefs/beliefSources.ts
+++ b/src/beliefs/beliefSources.ts
@@ -1,4 +1,4 @@
-/** Where a process's beliefs are read from: one class for each kind of thing that it depends on. */
+/** Sources of beliefs: one class for each kind of dependency whose state a process tracks. */
 
 import { backendKey } from '../announcement/announcementTopic.js'
 import type { AnnouncementTables } from '../announcement/types.js'
@@ -8,19 +8,19 @@
 import type { LogTables } from '../replicated-log/types.js'
 import type { Belief } from './types.js'
 
-/** Without a vouch for this long a host counts as out of touch with the quorum. */
-export const OUT_OF_TOUCH: Millis = 3_000
+/** Time without a confirmed configuration after which a host counts as out of contact with the quorum. */
+export const QUORUM_CONTACT_TIMEOUT_MS: Millis = 3_000
 
-type Confirmed = Pick<MembershipTables, 'gossip'> & { readonly configuration: Configuration }
+type ConfirmationTables = Pick<MembershipTables, 'gossip'> & { readonly configuration: Configuration }
 
-/** Tells what is believed now. */
+/** Reads the current beliefs about one kind of subject. */
 export interface BeliefSource<Tables> {
-  /** The state of a subject that is seen for the first time and needs no line; null where the first state always does. */
+  /** State in which a subject that is seen for the first time is not logged; null if the first state is always logged. */
   readonly unloggedState: string | null
   read (tables: Tables, now: Millis): Iterable<Belief>
 }
 
-/** The other processes of the fleet. */
+/** Reads the states of the other processes of the fleet. */
 export class PeerSource implements BeliefSource<MembershipTables> {
   get unloggedState (): string { return 'alive' }
 
@@ -32,7 +32,7 @@
   }
 }
 
-/** The backend servers. */
+/** Reads the states of the backend servers. */
 export class BackendSource implements BeliefSource<AnnouncementTables> {
   get unloggedState (): string { return 'up' }
 
@@ -45,28 +45,28 @@
   }
 }
 
-/** The configuration in force. */
-export class ConfigurationSource implements BeliefSource<Confirmed> {
+/** Reads the index of the configuration in force. */
+export class ConfigurationSource implements BeliefSource<ConfirmationTables> {
   get unloggedState (): null { return null }
 
-  * read ({ configuration }: Confirmed): Iterable<Belief> {
+  * read ({ configuration }: ConfirmationTables): Iterable<Belief> {
     const evacuated = [...configuration.evacuations.rows()].map(row => row.zone).join(' ')
     yield { event: 'configuration', subject: 'configuration', state: String(configuration.index), facts: { planVersion: configuration.plan?.version ?? null, evacuated } }
   }
 }
 
-/** Whether this host hears from the quorum. */
-export class QuorumSource implements BeliefSource<Confirmed> {
+/** Reads whether this host is in contact with the quorum. */
+export class QuorumSource implements BeliefSource<ConfirmationTables> {
   get unloggedState (): null { return null }
 
-  * read ({ gossip }: Confirmed, now: Millis): Iterable<Belief> {
+  * read ({ gossip }: ConfirmationTables, now: Millis): Iterable<Belief> {
     const ageMs = gossip.confirmedAt === null ? null : Math.round(now - gossip.confirmedAt)
-    const state = ageMs !== null && ageMs < OUT_OF_TOUCH ? 'in touch' : 'out of touch'
+    const state = ageMs !== null && ageMs < QUORUM_CONTACT_TIMEOUT_MS ? 'in touch' : 'out of touch'
     yield { event: 'quorum', subject: 'quorum', state, facts: { ageMs } }
   }
 }
 
-/** The leader of the control group. */
+/** Reads the leader of the control group. */
 export class LeaderSource implements BeliefSource<Pick<LogTables, 'replica'>> {
   get unloggedState (): null { return null }
 
--- a/src/beliefs/beliefSystem.ts
+++ b/src/beliefs/beliefSystem.ts
@@ -1,4 +1,4 @@
-/** Notes in the journal what a process believes anew: lost and regained peers, servers, leader and quorum, another configuration. */
+/** Records in the journal each change of a belief: lost and recovered peers, backend servers, leader and quorum, and new configurations. */
 
 import { RowTable } from '../core/table.js'
 import { NEVER } from '../core/tick.js'
@@ -7,27 +7,26 @@
 import type { BeliefSource } from './beliefSources.js'
 import type { Belief, BeliefRow, BeliefTables } from './types.js'
 
-/** Beliefs are compared this often at most. */
-export const ROUND_INTERVAL: Millis = 200
+/** Minimum time between two comparisons. */
+export const COMPARISON_INTERVAL_MS: Millis = 200
 
-type Noting = BeliefTables & JournalTables
+type BeliefSystemTables = BeliefTables & JournalTables
 
 const keyOf = ({ event, subject }: Belief): string => `${event}/${subject}`
 
-/** Creates the table of beliefs. */
 export const createBeliefs = (): BeliefTables => ({ beliefs: new RowTable<string, BeliefRow>(row => row.key) })
 
-/** The system of beliefs; it wakes nobody and compares when a tick runs anyway. */
-export class BeliefSystem<Tables extends Noting> implements System<Tables, unknown, unknown> {
+/** Compares beliefs with the last recorded ones. It sets no deadline of its own and only runs along with other ticks. */
+export class BeliefSystem<Tables extends BeliefSystemTables> implements System<Tables, unknown, unknown> {
   readonly name = 'belief'
-  #nextAt: Millis = 0
+  #nextComparisonAt: Millis = 0
   #round = 0
 
   constructor (readonly sources: ReadonlyArray<BeliefSource<Tables>>) {}
 
   run (tick: Tick<Tables, unknown, unknown>): void {
-    if (tick.now < this.#nextAt) return
-    this.#nextAt = tick.now + ROUND_INTERVAL
+    if (tick.now < this.#nextComparisonAt) return
+    this.#nextComparisonAt = tick.now + COMPARISON_INTERVAL_MS
     this.#round += 1
     for (const source of this.sources) {
       for (const belief of source.read(tick.tables, tick.now)) this.#compare(tick, belief, source.unloggedState)
@@ -39,7 +38,7 @@
 
   deadline (): Millis { return NEVER }
 
-  #compare (tick: Tick<Tables, unknown, unknown>, belief: Belief, ordinary: string | null): void {
+  #compare (tick: Tick<Tables, unknown, unknown>, belief: Belief, unloggedState: string | null): void {
     const key = keyOf(belief)
     const known = tick.tables.beliefs.get(key)
     if (known?.state === belief.state) {
@@ -47,9 +46,9 @@
       return
     }
     tick.tables.beliefs.put({ key, state: belief.state, round: this.#round })
-    if (known === undefined && belief.state === ordinary) return
+    if (known === undefined && belief.state === unloggedState) return
     const facts = { from: known?.state ?? null, to: belief.state, ...belief.facts }
-    // The facts belong to the event of the same belief, which the compiler cannot see through the union.
+    // The facts belong to the event of the same belief; the compiler can't infer that for the union.
     tick.tables.journal.note({ at: tick.now, event: belief.event, subject: belief.subject, facts, profile: null } as JournalRow)
   }
 }
--- a/src/gossip/fanout.ts
+++ b/src/gossip/fanout.ts
@@ -1,83 +1,84 @@
-/** Whom fresh news is sent to at once. */
+/** Policies that choose the members to which new rumors are sent immediately. */
 
 import { rendezvousWeight } from '../core/rendezvous.js'
 import type { GossipTick } from './gossipSteps.js'
 import type { PeerSelector } from '../membership/peerSelector.js'
 import type { Member } from '../membership/types.js'
 
-/** Chooses the members that hear fresh news at once; probes and digests repair the rest. */
+/** Chooses the members that receive new rumors immediately; the others receive them with probes and by digest synchronization. */
 export interface Fanout {
   readonly name: string
   targets (tick: GossipTick): Member[]
 }
 
-/** Members of the own zone that a fresh rumor is sent to at once: a zone that is cut off must still hear it. */
-export const ZONE_FANOUT = 3
-/** Members of other zones that a fresh rumor is sent to at once. */
-export const FAR_FANOUT = 2
+/** Members of the own zone that receive a new rumor immediately, so that it also spreads within a zone that is partitioned off. */
+export const SAME_ZONE_FANOUT = 3
+/** Members of other zones that receive a new rumor immediately. */
+export const OTHER_ZONES_FANOUT = 2
 
-const drawSome = (tick: GossipTick, candidates: Member[], most: number): Member[] => {
+const sample = (tick: GossipTick, candidates: Member[], limit: number): Member[] => {
   const drawn: Member[] = []
-  while (drawn.length < most && candidates.length > 0) drawn.push(...candidates.splice(tick.random.below(candidates.length), 1))
+  while (drawn.length < limit && candidates.length > 0) drawn.push(...candidates.splice(tick.random.below(candidates.length), 1))
   return drawn
 }
 
-/** Every host passes news on to a few others: needs no list of all, at the price of many copies. */
-export class EpidemicReach implements Fanout {
+/** Epidemic dissemination: every host forwards rumors to a few random peers. Needs no full member list, but sends many duplicates. */
+export class EpidemicFanout implements Fanout {
   readonly name = 'epidemic'
 
-  constructor (readonly partners: PeerSelector) {}
+  constructor (readonly peerSelector: PeerSelector) {}
 
   targets (tick: GossipTick): Member[] {
-    const { sameZone: near, otherZones: far } = this.partners.select(tick.tables)
-    return [...drawSome(tick, [...near], ZONE_FANOUT), ...drawSome(tick, [...far], FAR_FANOUT)]
+    const { sameZone, otherZones } = this.peerSelector.select(tick.tables)
+    return [...sample(tick, [...sameZone], SAME_ZONE_FANOUT), ...sample(tick, [...otherZones], OTHER_ZONES_FANOUT)]
   }
 }
 
-/** Entry hosts of one zone that a control host tells directly; larger zones pass news on among themselves. */
-const DIRECT_HOSTS = 24
-/** Members that an entry host passes news on to: enough to bridge a control host that has just died. */
+/** Entry hosts per zone to which a control host sends directly; in larger zones entry hosts also forward epidemically. */
+const MAX_DIRECT_HOSTS_PER_ZONE = 24
+/** Members to which an entry host forwards a rumor; enough to compensate for a control host that has just failed. */
 const ENTRY_FANOUT = 1
 
 /**
- * Control hosts tell every entry host of the zones that are theirs: their own zone, and zones without a control host by
- * rendezvous among those that live. News crosses each border between zones about once.
+ * Control hosts send to every entry host of the zones that they are responsible for: their own zone, and those zones
+ * without a control host that rendezvous hashing assigns to them among the live control hosts. A rumor thus crosses each
+ * zone boundary about once.
  */
-export class ZoneReach implements Fanout {
+export class ZoneFanout implements Fanout {
   readonly name = 'zone'
-  readonly #epidemic: EpidemicReach
+  readonly #epidemic: EpidemicFanout
 
-  constructor (readonly partners: PeerSelector) { this.#epidemic = new EpidemicReach(partners) }
+  constructor (readonly peerSelector: PeerSelector) { this.#epidemic = new EpidemicFanout(peerSelector) }
 
   targets (tick: GossipTick): Member[] {
     const { self } = tick.tables.gossip
-    if (self.role === 'control') return this.#fromControl(tick)
-    const { sameZone: near, otherZones: far } = this.partners.select(tick.tables)
-    return near.length >= DIRECT_HOSTS ? this.#epidemic.targets(tick) : drawSome(tick, near.length > 0 ? [...near] : [...far], ENTRY_FANOUT)
+    if (self.role === 'control') return this.#controlTargets(tick)
+    const { sameZone, otherZones } = this.peerSelector.select(tick.tables)
+    return sameZone.length >= MAX_DIRECT_HOSTS_PER_ZONE ? this.#epidemic.targets(tick) : sample(tick, sameZone.length > 0 ? [...sameZone] : [...otherZones], ENTRY_FANOUT)
   }
 
-  #fromControl (tick: GossipTick): Member[] {
+  #controlTargets (tick: GossipTick): Member[] {
     const { self } = tick.tables.gossip
     const controls: Member[] = []
-    const entries = new Map<string, Member[]>()
+    const entryHosts = new Map<string, Member[]>()
     for (const { member } of tick.tables.members.rows()) {
       if (member.state === 'dead' || member.host === self.host) continue
       if (member.role === 'control') controls.push(member)
-      else if (!entries.has(member.zone)) entries.set(member.zone, [member])
-      else entries.get(member.zone)?.push(member)
+      else if (!entryHosts.has(member.zone)) entryHosts.set(member.zone, [member])
+      else entryHosts.get(member.zone)?.push(member)
     }
     const targets = [...controls]
-    for (const [zone, hosts] of entries) {
-      if (this.#isMine(self, controls, zone)) targets.push(...hosts.slice(0, DIRECT_HOSTS))
+    for (const [zone, hosts] of entryHosts) {
+      if (this.#isResponsibleFor(self, controls, zone)) targets.push(...hosts.slice(0, MAX_DIRECT_HOSTS_PER_ZONE))
     }
     return targets
   }
 
-  #isMine (self: Member, controls: readonly Member[], zone: string): boolean {
+  #isResponsibleFor (self: Member, controls: readonly Member[], zone: string): boolean {
     if (self.zone === zone) return true
     const own = rendezvousWeight(zone, self.host)
     for (const other of controls) {
-      // A suspect may be gone, so its zones are told twice.
+      // A suspect may have failed, so its zones also receive from another control host.
       if (other.state !== 'alive') continue
       if (other.zone === zone || rendezvousWeight(zone, other.host) > own) return false
     }
@@ -85,14 +86,12 @@
   }
 }
 
-/** The reaches by the names that settings use. */
-const reachRegistry = {
-  epidemic: (partners: PeerSelector): Fanout => new EpidemicReach(partners),
-  zone: (partners: PeerSelector): Fanout => new ZoneReach(partners)
+/** Fanout policies by name. */
+const fanoutRegistry = {
+  epidemic: (peerSelector: PeerSelector): Fanout => new EpidemicFanout(peerSelector),
+  zone: (peerSelector: PeerSelector): Fanout => new ZoneFanout(peerSelector)
 } as const
 
-/** The name of a reach. */
-export type FanoutName = keyof typeof reachRegistry
+export type FanoutName = keyof typeof fanoutRegistry
 
-/** The reach of a name. */
-export const createFanout = (name: FanoutName, partners: PeerSelector): Fanout => reachRegistry[name](partners)
+export const createFanout = (name: FanoutName, peerSelector: PeerSelector): Fanout => fanoutRegistry[name](peerSelector)
--- a/src/gossip/gossipReceiveSystem.ts
+++ b/src/gossip/gossipReceiveSystem.ts
@@ -1,38 +1,38 @@
-/** Takes in what other hosts say: probes, rumors, digests, changes and snapshots. */
+/** Handles gossip messages: probes, rumors, digests, reports, configuration changes and snapshots. */
 
 import type { HostId } from '../core/id.js'
 import { NEVER } from '../core/tick.js'
 import type { Millis, System } from '../core/tick.js'
-import { confirmConfiguration, takeChange } from '../membership/changeTopic.js'
+import { confirmConfiguration, applyNextChange } from '../membership/changeTopic.js'
 import { withoutDocument } from '../plan/planDocument.js'
 import { installSnapshot, takeSnapshot } from '../configuration/configurationTables.js'
-import { RUMORS_PER_MESSAGE, mergeRumors, replyTo, sendSync, takePendingRumors } from './gossipSteps.js'
+import { MAX_RUMORS_PER_MESSAGE, mergeRumors, sendToMember, sendSync, takePendingRumors } from './gossipSteps.js'
 import type { GossipInput, GossipOutput, GossipTick } from './gossipSteps.js'
 import type { RumorTables } from '../membership/rumorTopic.js'
 import { spreadRumor } from '../membership/spreadRumor.js'
 import { announcementTopic, takeReports } from '../announcement/announcementTopic.js'
-import { noteRoundTrip } from '../membership/roundTrips.js'
+import { recordRoundTrip } from '../membership/roundTrips.js'
 import { differingRumors, readSyncState } from './syncDigest.js'
 import type { GossipMessage, Rumor } from '../membership/types.js'
 
 const gossipKinds: ReadonlySet<string> = new Set<GossipMessage['kind']>(['probe', 'probe-reply', 'rumors', 'sync', 'in-force', 'reports', 'fetch', 'changes', 'snapshot'])
 
 const sendRumors = (tick: GossipTick, to: HostId, rumors: readonly Rumor[]): void => {
-  for (let first = 0; first < rumors.length; first += RUMORS_PER_MESSAGE) {
-    replyTo(tick, to, { kind: 'rumors', rumors: rumors.slice(first, first + RUMORS_PER_MESSAGE) })
+  for (let first = 0; first < rumors.length; first += MAX_RUMORS_PER_MESSAGE) {
+    sendToMember(tick, to, { kind: 'rumors', rumors: rumors.slice(first, first + MAX_RUMORS_PER_MESSAGE) })
   }
 }
 
-const takeSync = (tick: GossipTick, from: HostId, message: Extract<GossipMessage, { kind: 'sync' }>): void => {
+const handleSync = (tick: GossipTick, from: HostId, message: Extract<GossipMessage, { kind: 'sync' }>): void => {
   if (message.vouch !== null) mergeRumors(tick, [{ topic: 'vouch', vouch: message.vouch }])
   const sender = tick.tables.members.get(from)?.member
-  // A host that nobody has told of us yet needs to hear who speaks before it can answer.
+  // Rumors are sent first: a host that doesn't know this member yet can only reply once it has received the member rumor.
   sendRumors(tick, from, differingRumors(readSyncState(tick.tables, tick.now), message.digests))
   if (!message.reply && sender !== undefined) sendSync(tick, from, sender.link, true)
 }
 
-const noteIndex = (tick: GossipTick, from: HostId, index: number): void => {
-  noteReport(tick, from, index)
+const recordPeerIndex = (tick: GossipTick, from: HostId, index: number): void => {
+  recordReportedIndex(tick, from, index)
   if (index > tick.tables.configuration.index) tick.tables.gossip.fetchAt = Math.min(tick.tables.gossip.fetchAt, tick.now)
 }
 
@@ -43,15 +43,15 @@
   const message: GossipMessage = changes === null
     ? { kind: 'snapshot', snapshot: withoutDocument(takeSnapshot(configuration)) }
     : { kind: 'changes', changes }
-  replyTo(tick, to, message)
+  sendToMember(tick, to, message)
 }
 
-const noteReport = (tick: GossipTick, from: HostId, index: number): void => {
+const recordReportedIndex = (tick: GossipTick, from: HostId, index: number): void => {
   const row = tick.tables.members.get(from)
   if (row !== undefined) row.index = Math.max(row.index, index)
 }
 
-const takeSnapshotMessage = (tick: GossipTick, message: Extract<GossipMessage, { kind: 'snapshot' }>): void => {
+const handleSnapshot = (tick: GossipTick, message: Extract<GossipMessage, { kind: 'snapshot' }>): void => {
   const { configuration, recentChanges, withdrawals } = tick.tables
   if (tick.tables.gossip.isAuthority || !installSnapshot(configuration, message.snapshot)) return
   recentChanges.clear()
@@ -61,57 +61,56 @@
   confirmConfiguration(tick.tables)
 }
 
-const takeProbeReply = (tick: GossipTick, from: HostId, sequence: number): void => {
+const handleProbeReply = (tick: GossipTick, from: HostId, sequence: number): void => {
   const { probes, members, gossip } = tick.tables
   const probe = probes.get(from)
   if (probe?.sequence !== sequence) return
   probes.remove(from)
   const region = members.get(from)?.member.region
-  if (region !== undefined) noteRoundTrip(gossip, region, tick.now - probe.sentAt)
+  if (region !== undefined) recordRoundTrip(gossip, region, tick.now - probe.sentAt)
 }
 
-const takeMessage = (tick: GossipTick, from: HostId, message: GossipMessage): void => {
+const handleMessage = (tick: GossipTick, from: HostId, message: GossipMessage): void => {
   switch (message.kind) {
     case 'probe':
       mergeRumors(tick, message.rumors)
-      noteIndex(tick, from, message.index)
-      replyTo(tick, from, { kind: 'probe-reply', sequence: message.sequence, index: tick.tables.configuration.index, rumors: takePendingRumors(tick) })
+      recordPeerIndex(tick, from, message.index)
+      sendToMember(tick, from, { kind: 'probe-reply', sequence: message.sequence, index: tick.tables.configuration.index, rumors: takePendingRumors(tick) })
       return
     case 'probe-reply':
-      takeProbeReply(tick, from, message.sequence)
+      handleProbeReply(tick, from, message.sequence)
       mergeRumors(tick, message.rumors)
-      noteIndex(tick, from, message.index)
+      recordPeerIndex(tick, from, message.index)
       return
     case 'rumors':
       mergeRumors(tick, message.rumors)
       return
     case 'sync':
-      takeSync(tick, from, message)
+      handleSync(tick, from, message)
       return
     case 'reports':
       for (const announcement of takeReports(tick.tables, message.reports, tick.now)) spreadRumor(tick, announcementTopic, { topic: 'announcement', announcement })
       return
     case 'in-force':
-      noteReport(tick, from, message.index)
+      recordReportedIndex(tick, from, message.index)
       return
     case 'fetch':
       answerFetch(tick, from, message.after)
       return
     case 'changes':
-      for (const change of message.changes) takeChange(tick, change)
+      for (const change of message.changes) applyNextChange(tick, change)
       return
     case 'snapshot':
-      takeSnapshotMessage(tick, message)
+      handleSnapshot(tick, message)
   }
 }
 
-/** Takes in what other hosts say. */
 export class GossipReceiveSystem implements System<RumorTables, GossipInput, GossipOutput> {
   readonly name = 'gossip-receive'
 
   run (tick: GossipTick): void {
     for (const row of tick.inbox) {
-      if (row.kind === 'message' && gossipKinds.has(row.message.kind)) takeMessage(tick, row.from, row.message)
+      if (row.kind === 'message' && gossipKinds.has(row.message.kind)) handleMessage(tick, row.from, row.message)
     }
   }
 
--- a/src/gossip/gossipSteps.ts
+++ b/src/gossip/gossipSteps.ts
@@ -1,4 +1,4 @@
-/** Small steps that the parts of gossip share. */
+/** Operations shared by the gossip systems. */
 
 import type { HostId } from '../core/id.js'
 import type { Millis, Tick } from '../core/tick.js'
@@ -9,17 +9,15 @@
 import type { Address } from '../core/address.js'
 import type { GossipMessage, LinkDropped, MessageReceived, MessageSent, Rumor, RumorRow, Vouch } from '../membership/types.js'
 
-/** Rumors in one message. */
-export const RUMORS_PER_MESSAGE = 64
+export const MAX_RUMORS_PER_MESSAGE = 64
 
-/** Rows that gossip takes. */
+/** Inbox rows that the gossip systems handle. */
 export type GossipInput = MessageReceived<GossipMessage> | { readonly kind: 'other' }
-/** Rows that gossip gives. */
+/** Outbox rows that the gossip systems emit. */
 export type GossipOutput = MessageSent<GossipMessage> | LinkDropped
-/** One tick as seen by gossip. */
 export type GossipTick = Tick<RumorTables, GossipInput, GossipOutput>
 
-/** Takes rumors in and passes on what was news. */
+/** Merges rumors into the tables and queues those that changed something for further spreading. */
 export const mergeRumors = (tick: GossipTick, rumors: readonly Rumor[]): void => {
   for (const rumor of rumors) {
     const topic = topicOf(rumor)
@@ -27,29 +25,28 @@
   }
 }
 
-/** A rumor as it is sent now. */
-export const agedRumor = (row: RumorRow, now: Millis): Rumor => topicOf(row.rumor).withAddedAge(row.rumor, now - row.heardAt)
+/** Returns the rumor with its ages increased by the time since it was received. */
+export const rumorWithCurrentAge = (row: RumorRow, now: Millis): Rumor => topicOf(row.rumor).withAddedAge(row.rumor, now - row.heardAt)
 
-/** Rumors that go along with a probe. */
+/** Takes queued rumors to piggyback on a probe or its reply, and counts down their remaining sends. */
 export const takePendingRumors = (tick: GossipTick): Rumor[] => {
   const taken: Rumor[] = []
   for (const row of [...tick.tables.rumors.rows()]) {
-    if (taken.length >= RUMORS_PER_MESSAGE) break
+    if (taken.length >= MAX_RUMORS_PER_MESSAGE) break
     if (row.remainingSends <= 0) continue
-    taken.push(agedRumor(row, tick.now))
+    taken.push(rumorWithCurrentAge(row, tick.now))
     row.remainingSends -= 1
     if (row.remainingSends <= 0) tick.tables.rumors.remove(row.key)
   }
   return taken
 }
 
-/** Sends a message to an address. */
 export const sendTo = (tick: GossipTick, to: HostId, address: Address, message: GossipMessage): void => {
   tick.emit({ kind: 'send', to, address, message })
 }
 
-/** Sends a message to a host that is known as a member. */
-export const replyTo = (tick: GossipTick, to: HostId, message: GossipMessage): void => {
+/** Sends a message to a host if it is a known member; drops the message otherwise. */
+export const sendToMember = (tick: GossipTick, to: HostId, message: GossipMessage): void => {
   const member = tick.tables.members.get(to)?.member
   if (member !== undefined) sendTo(tick, to, member.link, message)
 }
@@ -59,7 +56,7 @@
   return vouch === null ? null : { ...vouch, ageMs: tick.now - vouchedAt }
 }
 
-/** Sends the digests of what this host knows. */
+/** Starts or answers an anti-entropy exchange by sending the digests of the local state. */
 export const sendSync = (tick: GossipTick, to: HostId, address: Address, reply: boolean): void => {
   const { digests } = readSyncState(tick.tables, tick.now)
   sendTo(tick, to, address, { kind: 'sync', reply, digests, vouch: currentVouch(tick) })
--- a/src/gossip/probeSystem.ts
+++ b/src/gossip/probeSystem.ts
@@ -1,4 +1,4 @@
-/** Failure detection by probes, repair by synchronisation, and the fetch of missing changes. */
+/** Failure detection by probes (SWIM), anti-entropy by digest synchronization, and the fetch of missing configuration changes. */
 
 import type { HostId } from '../core/id.js'
 import { pick } from '../core/random.js'
@@ -13,32 +13,31 @@
 import type { Address } from '../core/address.js'
 import type { Member } from '../membership/types.js'
 
-/** Time between two probes of a host. */
-export const PROBE_INTERVAL: Millis = 1_000
-/** A probe without a reply for this long makes its host a suspect. */
-export const PROBE_TIMEOUT: Millis = 1_000
-/** A suspect that does not refute for this long counts as dead. */
-export const SUSPICION: Millis = 3_000
-/** Time between two full synchronisations. */
-export const SYNC_INTERVAL: Millis = 5_000
-/** The same while a host has no confirmed configuration. */
-export const WAITING_SYNC_INTERVAL: Millis = 400
-/** A dead member is forgotten after this time. */
-export const DEAD_RETENTION: Millis = 600_000
-const FETCH_RETRY: Millis = 300
+/** Interval at which a host probes one of its peers. */
+export const PROBE_INTERVAL_MS: Millis = 1_000
+/** A host that doesn't reply to a probe within this time becomes a suspect. */
+export const PROBE_TIMEOUT_MS: Millis = 1_000
+/** A suspect that doesn't refute the suspicion within this time counts as dead. */
+export const SUSPECT_TIMEOUT_MS: Millis = 3_000
+export const SYNC_INTERVAL_MS: Millis = 5_000
+/** Interval between synchronizations while a host has no confirmed configuration and can't serve requests. */
+export const UNCONFIRMED_SYNC_INTERVAL_MS: Millis = 400
+/** Time after which a dead member is removed from the member table. */
+export const DEAD_MEMBER_RETENTION_MS: Millis = 600_000
+const FETCH_RETRY_INTERVAL_MS: Millis = 300
 
-const changeState = (tick: GossipTick, host: HostId, state: 'suspect' | 'dead'): void => {
+const setMemberState = (tick: GossipTick, host: HostId, state: 'suspect' | 'dead'): void => {
   const row = tick.tables.members.get(host)
   if (row === undefined || row.member.state === 'dead' || row.member.state === state) return
   const member = { ...row.member, state }
   if (mergeMember(tick, member)) spreadRumor(tick, memberTopic, { topic: 'member', member })
 }
 
-/** Probes members, suspects the silent ones and buries those that do not refute. */
+/** Probes members, marks unresponsive ones as suspect and then dead, and synchronizes with peers. */
 export class ProbeSystem implements System<RumorTables, GossipInput, GossipOutput> {
   readonly name = 'probe'
 
-  constructor (readonly partners: PeerSelector) {}
+  constructor (readonly peerSelector: PeerSelector) {}
 
   run (tick: GossipTick): void {
     const gossip = tick.tables.gossip
@@ -56,25 +55,25 @@
 
   #expireProbes (tick: GossipTick): void {
     for (const probe of [...tick.tables.probes.rows()]) {
-      if (tick.now - probe.sentAt < PROBE_TIMEOUT) continue
+      if (tick.now - probe.sentAt < PROBE_TIMEOUT_MS) continue
       tick.tables.probes.remove(probe.host)
       tick.emit({ kind: 'drop-link', to: probe.host })
-      changeState(tick, probe.host, 'suspect')
+      setMemberState(tick, probe.host, 'suspect')
     }
   }
 
   #expireSuspects (tick: GossipTick): void {
     for (const row of tick.tables.members.group('suspect')) {
-      if (tick.now - row.changedAt >= SUSPICION) changeState(tick, row.member.host, 'dead')
+      if (tick.now - row.changedAt >= SUSPECT_TIMEOUT_MS) setMemberState(tick, row.member.host, 'dead')
     }
     for (const row of tick.tables.members.group('dead')) {
-      if (tick.now - row.changedAt >= DEAD_RETENTION) tick.tables.members.remove(row.member.host)
+      if (tick.now - row.changedAt >= DEAD_MEMBER_RETENTION_MS) tick.tables.members.remove(row.member.host)
     }
   }
 
   #probe (tick: GossipTick): void {
     const { gossip, probes, configuration } = tick.tables
-    gossip.nextProbeAt = tick.now + PROBE_INTERVAL
+    gossip.nextProbeAt = tick.now + PROBE_INTERVAL_MS
     gossip.sequence += 1
     const target = pick(tick.random, this.#probeTargets(tick, gossip.sequence))
     if (target === undefined || probes.has(target.host)) return
@@ -82,37 +81,37 @@
     sendTo(tick, target.host, target.link, { kind: 'probe', sequence: gossip.sequence, index: configuration.index, rumors: takePendingRumors(tick) })
   }
 
-  // Every other probe stays in the zone, so that news crosses a cut zone without waiting for far probes to fail.
+  // Alternates between own zone and other zones: in a zone that is partitioned off, rumors spread without waiting for probes to other zones to time out.
   #probeTargets (tick: GossipTick, sequence: number): readonly Member[] {
-    const { sameZone: near, otherZones: far } = this.partners.select(tick.tables)
-    const [first, second] = sequence % 2 === 0 ? [near, far] : [far, near]
+    const { sameZone, otherZones } = this.peerSelector.select(tick.tables)
+    const [first, second] = sequence % 2 === 0 ? [sameZone, otherZones] : [otherZones, sameZone]
     return first.length > 0 ? first : second
   }
 
-  // Dead members and seeds are tried too: after a partition heals, nobody else would speak first.
+  // Also contacts dead members and unknown seeds: after a partition heals, neither side would otherwise contact the other.
   #sync (tick: GossipTick): void {
     const { gossip, members } = tick.tables
-    const { sameZone: near, otherZones: far } = this.partners.select(tick.tables)
-    const isAlone = near.length + far.length === 0
-    // Without a confirmed configuration nobody is served, so it asks again and again until it has one.
+    const { sameZone, otherZones } = this.peerSelector.select(tick.tables)
+    const isAlone = sameZone.length + otherZones.length === 0
+    // A host without a confirmed configuration serves no requests, so it synchronizes more often until it has one.
     const isWaiting = gossip.confirmedAt === null && !gossip.isAuthority
-    const lost: Array<{ host: HostId, link: Address }> = members.group('dead').map(row => row.member)
+    const unreachable: Array<{ host: HostId, link: Address }> = members.group('dead').map(row => row.member)
     for (const seed of gossip.seeds) {
-      if (!members.has(seed.host)) lost.push(seed)
+      if (!members.has(seed.host)) unreachable.push(seed)
     }
-    const triesLost = lost.length > 0 && (isAlone || tick.random.below(2) === 0)
-    const others = triesLost ? lost : [...near, ...far]
-    gossip.nextSyncAt = tick.now + (isWaiting ? WAITING_SYNC_INTERVAL : isAlone ? PROBE_INTERVAL : SYNC_INTERVAL)
+    const triesUnreachable = unreachable.length > 0 && (isAlone || tick.random.below(2) === 0)
+    const others = triesUnreachable ? unreachable : [...sameZone, ...otherZones]
+    gossip.nextSyncAt = tick.now + (isWaiting ? UNCONFIRMED_SYNC_INTERVAL_MS : isAlone ? PROBE_INTERVAL_MS : SYNC_INTERVAL_MS)
     const target = pick(tick.random, others)
     if (target === undefined) return
-    // Seeds may be down, so a host that knows nobody asks all of them.
+    // Some seeds may be down, so a host that knows no members or waits for its configuration contacts all of them.
     for (const seed of isAlone || isWaiting ? gossip.seeds : []) {
-      if (seed.host !== target.host) this.#introduce(tick, seed.host, seed.link)
+      if (seed.host !== target.host) this.#startSync(tick, seed.host, seed.link)
     }
-    this.#introduce(tick, target.host, target.link)
+    this.#startSync(tick, target.host, target.link)
   }
 
-  #introduce (tick: GossipTick, host: HostId, link: Address): void {
+  #startSync (tick: GossipTick, host: HostId, link: Address): void {
     sendTo(tick, host, link, { kind: 'rumors', rumors: [{ topic: 'member', member: tick.tables.gossip.self }] })
     sendSync(tick, host, link, false)
   }
@@ -120,9 +119,9 @@
   #fetch (tick: GossipTick): void {
     const { gossip, configuration } = tick.tables
     const newest = gossip.vouch?.index ?? 0
-    gossip.fetchAt = newest > configuration.index ? tick.now + FETCH_RETRY : NEVER
-    const { sameZone: near, otherZones: far } = this.partners.select(tick.tables)
-    const target = pick(tick.random, [...near, ...far])
+    gossip.fetchAt = newest > configuration.index ? tick.now + FETCH_RETRY_INTERVAL_MS : NEVER
+    const { sameZone, otherZones } = this.peerSelector.select(tick.tables)
+    const target = pick(tick.random, [...sameZone, ...otherZones])
     if (target !== undefined) sendTo(tick, target.host, target.link, { kind: 'fetch', after: configuration.index })
   }
 }
--- a/src/gossip/rumorRegistry.ts
+++ b/src/gossip/rumorRegistry.ts
@@ -1,4 +1,4 @@
-/** Every topic that spreads between hosts. */
+/** Registry of all rumor topics. */
 
 import { announcementTopic } from '../announcement/announcementTopic.js'
 import { changeTopic, vouchTopic } from '../membership/changeTopic.js'
@@ -8,7 +8,6 @@
 import type { RumorTopic } from '../membership/rumorTopic.js'
 import type { Rumor } from '../membership/types.js'
 
-/** The topics by name. */
 export const rumorRegistry: { readonly [T in Rumor['topic']]: RumorTopic<T> } = {
   member: memberTopic,
   announcement: announcementTopic,
@@ -18,7 +17,7 @@
   suspicion: suspicionTopic
 }
 
-/** The topic of one rumor. */
+/** Returns the topic definition of a rumor. */
 export const topicOf = (rumor: Rumor): RumorTopic<Rumor['topic']> =>
   // The registry's key and the rumor's topic are the same literal, which the compiler cannot see through the union.
   rumorRegistry[rumor.topic] as unknown as RumorTopic<Rumor['topic']>
--- a/src/gossip/syncDigest.ts
+++ b/src/gossip/syncDigest.ts
@@ -1,4 +1,4 @@
-/** Digests of what a host knows, so that two hosts that agree exchange a few bytes instead of everything. */
+/** Digests for anti-entropy: hosts compare one digest per bucket and only send the buckets that differ. */
 
 import { crc32 } from 'node:zlib'
 import type { Millis } from '../core/tick.js'
@@ -6,7 +6,7 @@
 import type { RumorTables, RumorTopic } from '../membership/rumorTopic.js'
 import type { Rumor } from '../membership/types.js'
 
-/** Buckets that differ are sent whole. */
+/** Number of buckets; every bucket whose digests differ is sent completely. */
 export const SYNC_BUCKETS = 32
 
 const syncedTopics: ReadonlyArray<RumorTopic<Rumor['topic']>> = [
@@ -16,10 +16,10 @@
   topicOf({ topic: 'suspicion' } as Rumor)
 ]
 
-/** What a host knows, in buckets with a digest each. */
+/** All synchronized rumors of a host in buckets, with one digest per bucket. */
 export interface SyncState { readonly digests: readonly number[], readonly buckets: ReadonlyArray<readonly Rumor[]> }
 
-/** Sorts everything that is synchronised into buckets. */
+/** Distributes all synchronized rumors over the buckets and computes their digests. */
 export const readSyncState = (tables: RumorTables, now: Millis): SyncState => {
   const buckets: Rumor[][] = Array.from({ length: SYNC_BUCKETS }, () => [])
   const digests: number[] = Array.from({ length: SYNC_BUCKETS }, () => 0)
@@ -28,18 +28,18 @@
       const key = topic.key(rumor)
       const bucket = crc32(key) % SYNC_BUCKETS
       buckets[bucket]?.push(rumor)
-      // Order does not matter: the digests of the parts are added.
+      // Checksums are added up, so the digest doesn't depend on the order of the rumors.
       digests[bucket] = ((digests[bucket] ?? 0) + crc32(`${key} ${topic.version(rumor)}`)) >>> 0
     }
   }
   return { digests, buckets }
 }
 
-/** The rumors of every bucket in which two hosts differ. */
-export const differingRumors = (state: SyncState, theirs: readonly number[]): Rumor[] => {
+/** Returns the local rumors of all buckets whose digests differ from those of the peer. */
+export const differingRumors = (state: SyncState, peerDigests: readonly number[]): Rumor[] => {
   const rumors: Rumor[] = []
   for (const [bucket, digest] of state.digests.entries()) {
-    if (theirs[bucket] !== digest) rumors.push(...state.buckets[bucket] ?? [])
+    if (peerDigests[bucket] !== digest) rumors.push(...state.buckets[bucket] ?? [])
   }
   return rumors
 }
--- a/src/membership/changeTopic.ts
+++ b/src/membership/changeTopic.ts
@@ -1,19 +1,19 @@
-/** Rumors that carry committed changes, and the leader's word on which index is the newest. */
+/** Rumors that carry committed configuration changes, and vouches of the leader for the newest committed index. */
 
 import type { Tick } from '../core/tick.js'
 import type { RumorTables, RumorTopic } from './rumorTopic.js'
 import { applyChange } from '../configuration/applyChange.js'
 import type { Change } from '../configuration/types.js'
 
-/** Notes when this host's copy was last the newest that a leader vouched for. */
+/** Updates `confirmedAt` if the local configuration includes the index that the leader last vouched for. */
 export const confirmConfiguration = (tables: RumorTables): void => {
   const { gossip, configuration } = tables
   if (gossip.vouch === null || configuration.index < gossip.vouch.index) return
   gossip.confirmedAt = Math.max(gossip.confirmedAt ?? gossip.vouchedAt, gossip.vouchedAt)
 }
 
-/** Applies one committed change if it is the next one; true when it was news. */
-export const takeChange = (tick: Tick<RumorTables, unknown, unknown>, change: Change): boolean => {
+/** Applies a committed change if it is the next one and returns true; schedules a fetch if earlier changes are missing. */
+export const applyNextChange = (tick: Tick<RumorTables, unknown, unknown>, change: Change): boolean => {
   const { configuration, recentChanges, gossip, withdrawals } = tick.tables
   if (gossip.isAuthority || change.index <= configuration.index) return false
   if (change.index > configuration.index + 1) {
@@ -27,17 +27,17 @@
   return true
 }
 
-/** The topic of committed changes. */
+/** Topic of committed configuration changes. They are not synchronized by digests: a host fetches those that it missed. */
 export const changeTopic: RumorTopic<'change'> = {
   key: rumor => `change/${rumor.change.index}`,
   version: () => '',
   isRetransmitted: true,
-  merge: (tick, rumor) => takeChange(tick, rumor.change),
+  merge: (tick, rumor) => applyNextChange(tick, rumor.change),
   all: () => [],
   withAddedAge: rumor => rumor
 }
 
-/** The topic of vouches; only a newer one of the same or a later term counts. */
+/** Topic of vouches; a vouch replaces an older one of the same term or any of an earlier term. */
 export const vouchTopic: RumorTopic<'vouch'> = {
   key: () => 'vouch',
   version: ({ vouch }) => `${vouch.term} ${vouch.sequence}`,
@@ -45,12 +45,12 @@
   merge: (tick, rumor) => {
     const { gossip, configuration } = tick.tables
     const known = gossip.vouch
-    const news = rumor.vouch
-    const isNewer = known === null || news.term > known.term || (news.term === known.term && news.sequence > known.sequence)
+    const incoming = rumor.vouch
+    const isNewer = known === null || incoming.term > known.term || (incoming.term === known.term && incoming.sequence > known.sequence)
     if (!isNewer) return false
-    gossip.vouch = news
-    gossip.vouchedAt = tick.now - news.ageMs
-    if (news.index > configuration.index) gossip.fetchAt = Math.min(gossip.fetchAt, tick.now)
+    gossip.vouch = incoming
+    gossip.vouchedAt = tick.now - incoming.ageMs
+    if (incoming.index > configuration.index) gossip.fetchAt = Math.min(gossip.fetchAt, tick.now)
     confirmConfiguration(tick.tables)
     return true
   },
@@ -58,5 +58,5 @@
     const { vouch, vouchedAt } = tables.gossip
     if (vouch !== null) yield { topic: 'vouch', vouch: { ...vouch, ageMs: now - vouchedAt } }
   },
-  withAddedAge: (rumor, restedMs) => ({ topic: 'vouch', vouch: { ...rumor.vouch, ageMs: rumor.vouch.ageMs + restedMs } })
+  withAddedAge: (rumor, heldMs) => ({ topic: 'vouch', vouch: { ...rumor.vouch, ageMs: rumor.vouch.ageMs + heldMs } })
 }
--- a/src/membership/createMember.ts
+++ b/src/membership/createMember.ts
@@ -1,10 +1,10 @@
-/** A process as it introduces itself to the others. */
+/** Creates the member record that a process announces to the fleet. */
 
 import { toId } from '../core/id.js'
 import type { Address } from '../core/address.js'
 import type { HostRole, Member } from './types.js'
 
-/** What a process knows of its own place. */
+/** Identity, location and link address of a process. */
 export interface MemberPlace {
   readonly host: string
   readonly region: string
@@ -13,7 +13,7 @@
   readonly link: Address
 }
 
-/** A member that starts now. */
+/** Creates the member of a process that starts now; its epoch is the wall-clock time. */
 export const createMember = (role: HostRole, { host, region, zone, site, link }: MemberPlace, callers: Address | null): Member => ({
   host: toId(host),
   role,
--- a/src/membership/entryHosts.ts
+++ b/src/membership/entryHosts.ts
@@ -1,8 +1,8 @@
-/** Which entry hosts are known; they share what belongs to the fleet as a whole. */
+/** Queries about entry hosts, which share the limits that hold for the whole fleet. */
 
 import type { Member, MembershipTables } from './types.js'
 
-/** Entry hosts that are known, also those that are dead for now: they may be back with their part at any moment. */
+/** Counts all known entry hosts, including dead ones: they may return at any time and use their share. */
 export const countEntryHosts = (tables: Pick<MembershipTables, 'members'>): number => {
   let count = 0
   for (const { member } of tables.members.rows()) {
@@ -11,6 +11,6 @@
   return count
 }
 
-/** Whether a member takes requests of callers now. */
+/** Whether a member is an entry host that currently accepts requests of callers. */
 export const isServingEntry = (member: Member): boolean =>
   member.role === 'entry' && member.callers !== null && member.state === 'alive'
--- a/src/membership/memberTopic.ts
+++ b/src/membership/memberTopic.ts
@@ -1,35 +1,36 @@
-/** Rumors about members: newer epochs and incarnations win, then the graver state. */
+/** Rumors about members. A higher epoch wins, then a higher incarnation, then the more severe state. */
 
 import type { RumorTick, RumorTopic } from './rumorTopic.js'
 import type { Member } from './types.js'
 
-const gravity: Readonly<Record<Member['state'], number>> = { alive: 0, leaving: 1, suspect: 2, dead: 3 }
+const severity: Readonly<Record<Member['state'], number>> = { alive: 0, leaving: 1, suspect: 2, dead: 3 }
 
-/** Whether a statement about a member replaces the one that is known. */
-export const supersedes = (news: Member, known: Member): boolean => {
-  if (news.epoch !== known.epoch) return news.epoch > known.epoch
-  if (news.incarnation !== known.incarnation) return news.incarnation > known.incarnation
-  return gravity[news.state] > gravity[known.state]
+/** Whether an incoming member record replaces the known one. */
+export const supersedes = (incoming: Member, known: Member): boolean => {
+  if (incoming.epoch !== known.epoch) return incoming.epoch > known.epoch
+  if (incoming.incarnation !== known.incarnation) return incoming.incarnation > known.incarnation
+  return severity[incoming.state] > severity[known.state]
 }
 
-// A host that hears itself called suspect or dead answers with a higher incarnation. One whose wall clock has gone
-// back since its last life takes an epoch after that life's, or nobody would believe it.
-const refute = (tick: RumorTick, news: Member): boolean => {
+// Refutes rumors about this host itself: a suspicion or death is answered with a higher incarnation. If the wall clock has
+// moved back since the last run of this process, it takes an epoch after that of the last run; otherwise other hosts would
+// ignore its records.
+const refute = (tick: RumorTick, incoming: Member): boolean => {
   const gossip = tick.tables.gossip
   const self = gossip.self
-  if (news.epoch > self.epoch) {
-    gossip.self = { ...self, epoch: news.epoch + 1 }
+  if (incoming.epoch > self.epoch) {
+    gossip.self = { ...self, epoch: incoming.epoch + 1 }
     tick.tables.members.put({ member: gossip.self, changedAt: tick.now, index: 0 })
     return true
   }
-  if (news.epoch !== self.epoch || news.incarnation < self.incarnation) return false
-  if (gravity[news.state] <= gravity[self.state]) return false
-  gossip.self = { ...self, incarnation: news.incarnation + 1 }
+  if (incoming.epoch !== self.epoch || incoming.incarnation < self.incarnation) return false
+  if (severity[incoming.state] <= severity[self.state]) return false
+  gossip.self = { ...self, incarnation: incoming.incarnation + 1 }
   tick.tables.members.put({ member: gossip.self, changedAt: tick.now, index: 0 })
   return true
 }
 
-/** Takes a statement about a member into the table; true when it was news. */
+/** Merges a member record into the table; returns whether it replaced the known one. */
 export const mergeMember = (tick: RumorTick, member: Member): boolean => {
   const known = tick.tables.members.get(member.host)
   if (known !== undefined && !supersedes(member, known.member)) return false
@@ -38,7 +39,6 @@
   return true
 }
 
-/** The topic of members. */
 export const memberTopic: RumorTopic<'member'> = {
   key: rumor => `member/${rumor.member.host}`,
   version: ({ member }) => `${member.epoch} ${member.incarnation} ${member.state}`,
--- a/src/membership/membershipTables.ts
+++ b/src/membership/membershipTables.ts
@@ -1,4 +1,4 @@
-/** The tables of membership at the start of a process. */
+/** Builds the membership tables of a starting process. */
 
 import type { HostId } from '../core/id.js'
 import { RowTable } from '../core/table.js'
@@ -6,7 +6,7 @@
 import type { Millis } from '../core/tick.js'
 import type { Member, MemberRow, MembershipTables, ProbeRow, RumorRow, Seed } from './types.js'
 
-/** A process that knows only itself and whom to contact first. */
+/** Creates tables that contain only the process itself and its seeds. */
 export const createMembership = (self: Member, seeds: readonly Seed[], now: Millis): MembershipTables => {
   const members = new RowTable<HostId, MemberRow>(row => row.member.host, row => row.member.state)
   members.put({ member: self, changedAt: now, index: 0 })
--- a/src/membership/rumorTopic.ts
+++ b/src/membership/rumorTopic.ts
@@ -1,4 +1,4 @@
-/** What may spread between hosts: one small definition for each topic, behind one typed interface. */
+/** Interface of rumor topics; each topic defines how its rumors are identified, merged and sent. */
 
 import type { Tick, Millis } from '../core/tick.js'
 import type { Configuration } from '../configuration/configurationTables.js'
@@ -7,28 +7,27 @@
 import type { KeyTables } from '../key-check/types.js'
 import type { MembershipTables, Rumor } from './types.js'
 
-/** Tables that rumors change. */
+/** Tables that rumor topics read and change. */
 export type RumorTables = MembershipTables & AnnouncementTables & KeyTables & SuspicionTables & {
   readonly configuration: Configuration
   readonly recentChanges: import('../configuration/recentChanges.js').RecentChanges
 }
 
-/** One tick as seen by a rumor topic. */
 export type RumorTick = Tick<RumorTables, unknown, unknown>
 
-/** How rumors of one topic are told apart, taken in and repeated. */
+/** Defines how the rumors of one topic are identified, merged and sent. */
 export interface RumorTopic<T extends Rumor['topic']> {
   key (rumor: Extract<Rumor, { topic: T }>): string
-  /** Differs whenever two statements under the same key do. */
+  /** Differs between any two distinct rumors with the same key. */
   version (rumor: Extract<Rumor, { topic: T }>): string
-  /** Whether the rumor is sent again with later probes; one that is soon replaced is not. */
+  /** Whether the rumor is sent again with later probes; false for rumors that are soon replaced by newer ones. */
   readonly isRetransmitted: boolean
-  /** What this host passes on in place of a rumor that it has taken in; the rumor itself when absent. */
+  /** Returns the rumor to forward after a merge; without this method the merged rumor itself is forwarded. */
   current? (tables: RumorTables, rumor: Extract<Rumor, { topic: T }>): Rumor
-  /** Takes the rumor in; true when it was news and should be passed on. */
+  /** Merges the rumor into the tables; returns whether it changed anything and should be forwarded. */
   merge (tick: RumorTick, rumor: Extract<Rumor, { topic: T }>): boolean
-  /** Everything that a full synchronisation repeats. */
+  /** Returns all rumors that take part in digest synchronization. */
   all (tables: RumorTables, now: Millis): Iterable<Rumor>
-  /** The rumor as it is sent now, after it has rested here for a while. */
-  withAddedAge (rumor: Extract<Rumor, { topic: T }>, restedMs: Millis): Rumor
+  /** Returns the rumor with its ages increased by the time that it was held on this host. */
+  withAddedAge (rumor: Extract<Rumor, { topic: T }>, heldMs: Millis): Rumor
 }
--- a/src/membership/spreadRumor.ts
+++ b/src/membership/spreadRumor.ts
@@ -1,13 +1,14 @@
-/** Hands news to the spread system, which sends it on at the end of the tick. */
+/** Queues rumors for the spread system, which sends them at the end of the tick. */
 
 import type { RumorTick, RumorTopic } from './rumorTopic.js'
 import type { Rumor } from './types.js'
 
-const RETRANSMISSIONS_PER_DOUBLING = 2
+/** A rumor is retransmitted this many times per doubling of the member count (SWIM). */
+const RETRANSMIT_MULTIPLIER = 2
 
-/** Queues a rumor of a topic. */
+/** Queues a rumor; replaces a queued rumor with the same key. */
 export const spreadRumor = <T extends Rumor['topic']>(tick: RumorTick, topic: RumorTopic<T>, rumor: Extract<Rumor, { topic: T }>): void => {
   const members = tick.tables.members.size
-  const remaining = topic.isRetransmitted ? RETRANSMISSIONS_PER_DOUBLING * Math.ceil(Math.log2(members + 1)) : 0
-  tick.tables.rumors.put({ key: topic.key(rumor), rumor, heardAt: tick.now, remainingSends: remaining })
+  const remainingSends = topic.isRetransmitted ? RETRANSMIT_MULTIPLIER * Math.ceil(Math.log2(members + 1)) : 0
+  tick.tables.rumors.put({ key: topic.key(rumor), rumor, heardAt: tick.now, remainingSends })
 }
--- a/src/membership/types.ts
+++ b/src/membership/types.ts
@@ -1,4 +1,4 @@
-/** Members of the fleet and the rumors that they pass on. */
+/** Types of membership and gossip. */
 
 import type { Address } from '../core/address.js'
 import type { BackendId, HostId, KeyDigest, RegionId, ServiceId, SiteId, ZoneId } from '../core/id.js'
@@ -8,10 +8,10 @@
 import type { Suspicion } from '../suspicion/types.js'
 import type { Announcement } from '../announcement/types.js'
 
-/** What a process does in the fleet. */
+/** Role of a process in the fleet. */
 export type HostRole = 'entry' | 'control'
 
-/** What a host knows about another one. */
+/** Public record of a host, spread by gossip. */
 export interface Member {
   readonly host: HostId
   readonly role: HostRole
@@ -19,34 +19,34 @@
   readonly zone: ZoneId
   readonly site: SiteId
   readonly link: Address
-  /** Where callers reach an entry host; null on control hosts. */
+  /** Address at which an entry host accepts requests of callers; null on control hosts. */
   readonly callers: Address | null
-  /** Start of the process, in wall-clock milliseconds; a replaced process is newer than the one before. */
+  /** Start time of the process in wall-clock milliseconds; a restarted process has a higher epoch. */
   readonly epoch: number
-  /** Raised by the host itself to refute a suspicion. */
+  /** Incremented only by the host itself, to refute a suspicion. */
   readonly incarnation: number
   readonly state: 'alive' | 'leaving' | 'suspect' | 'dead'
 }
 
-/** A member with what this host alone knows about it. */
+/** A member with the local observations about it. */
 export interface MemberRow {
   member: Member
-  /** When the state last changed here. */
+  /** Local time of the last change of the record. */
   changedAt: Millis
-  /** The newest configuration that the member said is in force there; control hosts hear it. */
+  /** Newest configuration index that the member has reported as in force. */
   index: LogIndex
 }
 
-/** A leader's statement that its quorum held this index as the newest. */
+/** A leader's confirmation, backed by a quorum, that `index` was the newest committed index. */
 export interface Vouch {
   readonly index: LogIndex
   readonly term: number
   readonly sequence: number
-  /** Time since the leader knew it, in milliseconds, without the time on the wire. */
+  /** Time since the leader confirmed it, in milliseconds, excluding time on the network. */
   readonly ageMs: Millis
 }
 
-/** A piece of news that spreads from host to host. */
+/** An update that spreads by gossip. */
 export type Rumor =
   | { readonly topic: 'member', readonly member: Member }
   | { readonly topic: 'announcement', readonly announcement: Announcement }
@@ -55,15 +55,16 @@
   | { readonly topic: 'vouch', readonly vouch: Vouch }
   | { readonly topic: 'suspicion', readonly suspicion: Suspicion }
 
-/** A rumor that is still being passed on. */
+/** A rumor that is queued for sending. */
 export interface RumorRow {
   readonly key: string
   readonly rumor: Rumor
   readonly heardAt: Millis
+  /** Retransmissions with later probes that remain. */
   remainingSends: number
 }
 
-/** That a backend server has announced itself to some control host. */
+/** Reports that a backend server has announced itself to a control host. */
 export interface Report {
   readonly service: ServiceId
   readonly backend: BackendId
@@ -71,7 +72,7 @@
   readonly sequence: number
 }
 
-/** Messages of membership between hosts. */
+/** Gossip messages between hosts. */
 export type GossipMessage =
   | { readonly kind: 'probe', readonly sequence: number, readonly index: LogIndex, readonly rumors: readonly Rumor[] }
   | { readonly kind: 'probe-reply', readonly sequence: number, readonly index: LogIndex, readonly rumors: readonly Rumor[] }
@@ -83,41 +84,40 @@
   | { readonly kind: 'changes', readonly changes: readonly Change[] }
   | { readonly kind: 'snapshot', readonly snapshot: ConfigurationSnapshot }
 
-/** A probe that waits for its reply. */
+/** A probe without a reply so far. */
 export interface ProbeRow {
   readonly host: HostId
   readonly sequence: number
   readonly sentAt: Millis
 }
 
-/** A host that a new process contacts first. */
+/** A host that a starting process contacts to join the fleet. */
 export interface Seed { readonly host: HostId, readonly link: Address }
 
-/** This host's own state in the gossip. */
+/** Gossip state of the local host. */
 export interface GossipState {
   self: Member
   nextProbeAt: Millis
   nextSyncAt: Millis
   sequence: number
-  /** The newest vouch, and when its index was known to be the newest. */
+  /** The newest vouch, and the local time at which its index was confirmed as the newest. */
   vouch: Vouch | null
   vouchedAt: Millis
-  /** When this host's copy of the configuration was last known to be the newest; null since the start until a peer has vouched for it. */
+  /** When the local configuration was last confirmed as the newest; null after a start until the first confirmation. */
   confirmedAt: Millis | null
-  /** The index that this host last told the control hosts, and how often it tells them again: the first time may be lost. */
+  /** Index that was last reported to the control hosts, and the repeats that remain, as a report may be lost. */
   reportedIndex: LogIndex
   reportsLeft: number
-  /** Control hosts take changes from their own log only. */
+  /** True on control hosts, which apply changes only from their own log. */
   readonly isAuthority: boolean
-  /** When the next fetch of missing changes is due. */
+  /** Due time of the next fetch of missing configuration changes. */
   fetchAt: Millis
-  /** Hosts to ask while no member is known. */
+  /** Hosts to contact while they are not in the member table. */
   readonly seeds: readonly Seed[]
-  /** Time to each region and back. */
+  /** Estimated round-trip time to each region. */
   readonly roundTrips: Map<RegionId, Millis>
 }
 
-/** Tables of membership. */
 export interface MembershipTables {
   readonly members: RowTable<HostId, MemberRow>
   readonly rumors: RowTable<string, RumorRow>
@@ -125,14 +125,14 @@
   readonly gossip: GossipState
 }
 
-/** A message that arrived from another host whose identity was proved. */
+/** A message from another host, whose identity the link has authenticated. */
 export interface MessageReceived<M> {
   readonly kind: 'message'
   readonly from: HostId
   readonly message: M
 }
 
-/** A message for another host. */
+/** A message to be sent to another host. */
 export interface MessageSent<M> {
   readonly kind: 'send'
   readonly to: HostId
@@ -140,5 +140,5 @@
   readonly message: M
 }
 
-/** A link that has gone silent and must be dialled anew. */
+/** Closes a link whose host doesn't reply, so that it is reopened. */
 export interface LinkDropped { readonly kind: 'drop-link', readonly to: HostId }
--- a/src/replicated-log/commitSystem.ts
+++ b/src/replicated-log/commitSystem.ts
@@ -1,4 +1,4 @@
-/** Proposals, commitment, and the application of committed entries to the configuration. */
+/** Accepts proposals, advances the commit index and applies committed entries to the configuration. */
 
 import { toId } from '../core/id.js'
 import type { OperatorId, RequestId } from '../core/id.js'
@@ -13,27 +13,25 @@
 import { changeTopic, vouchTopic } from '../membership/changeTopic.js'
 import { spreadRumor } from '../membership/spreadRumor.js'
 import type { RumorTables } from '../membership/rumorTopic.js'
-import { appendOwn, isVoter, persist, quorumSize } from './replicaSteps.js'
+import { appendAsLeader, isVoter, persist, quorumSize } from './replicaSteps.js'
 import type { LogInput, LogOutput, LogTick } from './replicaSteps.js'
 import { latestGroup } from './replicaTables.js'
 import type { CommandProposed, Entry, Group, LogTables } from './types.js'
 
-/** Applied entries after which a snapshot takes their place. */
-export const SNAPSHOT_EVERY = 1_000
-/** Entries kept behind a snapshot for replicas that are a little behind. */
-const KEPT_ENTRIES = 256
-/** Time between two vouches of a leader. */
-export const VOUCH_INTERVAL: Millis = 2_000
-const VOUCH_RETRY: Millis = 100
+/** Number of applied entries after which a snapshot is taken. */
+export const SNAPSHOT_INTERVAL_ENTRIES = 1_000
+/** Entries retained before a snapshot, so that replicas that lag slightly need no snapshot. */
+const RETAINED_ENTRIES = 256
+export const VOUCH_INTERVAL_MS: Millis = 2_000
+const VOUCH_RETRY_INTERVAL_MS: Millis = 100
 
-/** Tables of a control host that commitment works on. */
+/** Tables that the commit system uses. */
 export type CommitTables = LogTables & RumorTables
-/** One tick as seen by commitment. */
 export type CommitTick = Tick<CommitTables, LogInput, LogOutput>
 
 const toLogTick = (tick: CommitTick): LogTick => tick
 
-// A withdrawal needs no agreement: it spreads at once, and the log makes it durable.
+// The withdrawal of a key needs no quorum to take effect: it spreads by gossip at once, and the log makes it durable.
 const spreadWithdrawal = (tick: CommitTick, envelope: CommandEnvelope): void => {
   const { command, roles } = envelope
   if (command.kind !== 'withdraw-key' || !roles.includes('assign') || tick.tables.withdrawals.has(command.digest)) return
@@ -41,16 +39,16 @@
   spreadRumor(tick, withdrawalTopic, { topic: 'withdrawal', digest: command.digest })
 }
 
-// A later, uncommitted group must not get into the snapshot: it may still be dropped.
+// Returns the group as of an index. A later, uncommitted group must not enter a snapshot, as its entry may still be dropped.
 const groupAt = (tables: LogTables, index: number): Group => {
   const entries = tables.log.rows().filter(entry => entry.index <= index)
   return latestGroup(tables.replica, entries)
 }
 
-/** Takes proposals, commits entries and applies them. */
+/** Proposes, commits and applies entries, confirms the commit index to the fleet and compacts the log. */
 export class CommitSystem implements System<CommitTables, LogInput, LogOutput> {
   readonly name = 'commit'
-  #withdrawalsSeen = -1
+  #seenWithdrawalRevision = -1
   #proposedWithdrawals = new Set<string>()
 
   run (tick: CommitTick): void {
@@ -63,7 +61,7 @@
       this.#advanceCommit(tick)
       this.#vouch(tick)
     } else {
-      this.#withdrawalsSeen = -1
+      this.#seenWithdrawalRevision = -1
       this.#proposedWithdrawals.clear()
     }
     this.#apply(tick)
@@ -71,8 +69,8 @@
   }
 
   deadline (tables: CommitTables): Millis {
-    const { role, vouchAt } = tables.replica
-    return role === 'leader' ? vouchAt : NEVER
+    const { role, nextVouchAt } = tables.replica
+    return role === 'leader' ? nextVouchAt : NEVER
   }
 
   #propose (tick: CommitTick, row: CommandProposed): void {
@@ -82,26 +80,26 @@
       tick.emit({ kind: 'proposal-answer', call: row.call, receipt: null, error: { kind: 'not-leader', leader: replica.leader } })
       return
     }
-    const entry = appendOwn(toLogTick(tick), { kind: 'command', envelope: row.envelope })
+    const entry = appendAsLeader(toLogTick(tick), { kind: 'command', envelope: row.envelope })
     proposals.put({ index: entry.index, term: entry.term, call: row.call, proposedAt: tick.now })
   }
 
-  // Withdrawals that came in at other hosts become durable through the leader.
+  // The leader proposes withdrawals that arrived at other hosts, to make them durable.
   #proposeWithdrawals (tick: CommitTick): void {
     const { withdrawals, configuration } = tick.tables
-    if (withdrawals.revision === this.#withdrawalsSeen) return
-    this.#withdrawalsSeen = withdrawals.revision
+    if (withdrawals.revision === this.#seenWithdrawalRevision) return
+    this.#seenWithdrawalRevision = withdrawals.revision
     for (const { digest } of withdrawals.rows()) {
       if (configuration.keys.get(digest)?.state !== 'given' || this.#proposedWithdrawals.has(digest)) continue
       this.#proposedWithdrawals.add(digest)
-      appendOwn(toLogTick(tick), {
+      appendAsLeader(toLogTick(tick), {
         kind: 'command',
         envelope: { requestId: toId<RequestId>(`withdrawal/${digest}`), operator: toId<OperatorId>('system'), roles: ['assign'], command: { kind: 'withdraw-key', digest } }
       })
     }
   }
 
-  // Only entries of the leader's own term are committed by counting; earlier ones follow with them.
+  // Only entries of the current term are committed by counting replicas (Raft, section 5.4.2); earlier entries are committed along with them.
   #advanceCommit (tick: CommitTick): void {
     const { replica, followers, log } = tick.tables
     const matches: number[] = []
@@ -110,10 +108,10 @@
       if (isVoter(tick.tables, row.replica)) matches.push(row.matchIndex)
     }
     matches.sort((a, b) => b - a)
-    const agreed = matches[quorumSize(tick.tables) - 1] ?? 0
-    if (agreed <= replica.commit || log.termAt(agreed) !== replica.term) return
-    replica.commit = agreed
-    // Followers learn at once what they may apply.
+    const quorumIndex = matches[quorumSize(tick.tables) - 1] ?? 0
+    if (quorumIndex <= replica.commit || log.termAt(quorumIndex) !== replica.term) return
+    replica.commit = quorumIndex
+    // Sends a heartbeat at once, so that followers learn the new commit index without delay.
     replica.nextHeartbeatAt = tick.now
   }
 
@@ -132,9 +130,9 @@
     const change: Change = { index: entry.index, envelope }
     const outcome = applyChange(configuration, change)
     if (envelope !== null) spreadWithdrawal(tick, envelope)
-    const told = changeWithoutDocument(change)
-    recentChanges.add(told)
-    spreadRumor(tick, changeTopic, { topic: 'change', change: told })
+    const changeToSpread = changeWithoutDocument(change)
+    recentChanges.add(changeToSpread)
+    spreadRumor(tick, changeTopic, { topic: 'change', change: changeToSpread })
     this.#answer(tick, entry, outcome)
   }
 
@@ -151,22 +149,22 @@
     tick.emit({ kind: 'proposal-answer', call: proposal.call, receipt, error })
   }
 
-  // The newest round that a quorum has answered proves that no later leader had been elected when it was sent.
+  // Issues a vouch: a quorum that has acknowledged a round proves that no later leader had been elected when the round was sent.
   #vouch (tick: CommitTick): void {
     const { replica, followers, log, gossip, configuration } = tick.tables
-    if (tick.now < replica.vouchAt) return
-    replica.vouchAt = tick.now + VOUCH_RETRY
-    // A new leader knows the newest index only once an entry of its own term is committed.
+    if (tick.now < replica.nextVouchAt) return
+    replica.nextVouchAt = tick.now + VOUCH_RETRY_INTERVAL_MS
+    // A new leader doesn't know the newest commit index until an entry of its own term is committed.
     if (log.termAt(replica.commit) !== replica.term) return
-    const confirmed: number[] = []
-    if (isVoter(tick.tables, replica.self.replica)) confirmed.push(tick.now)
+    const confirmationTimes: number[] = []
+    if (isVoter(tick.tables, replica.self.replica)) confirmationTimes.push(tick.now)
     for (const row of followers.rows()) {
-      if (isVoter(tick.tables, row.replica)) confirmed.push(row.ackedRoundSentAt)
+      if (isVoter(tick.tables, row.replica)) confirmationTimes.push(row.ackedRoundSentAt)
     }
-    confirmed.sort((a, b) => b - a)
-    const confirmedAt = confirmed[quorumSize(tick.tables) - 1]
+    confirmationTimes.sort((a, b) => b - a)
+    const confirmedAt = confirmationTimes[quorumSize(tick.tables) - 1]
     if (confirmedAt === undefined) return
-    replica.vouchAt = tick.now + VOUCH_INTERVAL
+    replica.nextVouchAt = tick.now + VOUCH_INTERVAL_MS
     replica.vouchSequence += 1
     const vouch = { index: replica.commit, term: replica.term, sequence: replica.vouchSequence, ageMs: tick.now - confirmedAt }
     gossip.vouch = vouch
@@ -178,11 +176,11 @@
   #compact (tick: CommitTick): void {
     const { replica, log, configuration } = tick.tables
     const snapshotIndex = replica.snapshot?.index ?? 0
-    if (configuration.index - snapshotIndex < SNAPSHOT_EVERY) return
+    if (configuration.index - snapshotIndex < SNAPSHOT_INTERVAL_ENTRIES) return
     const term = log.termAt(configuration.index)
     if (term === undefined) return
     replica.snapshot = { index: configuration.index, term, group: groupAt(tick.tables, configuration.index), configuration: takeSnapshot(configuration) }
-    if (configuration.index - KEPT_ENTRIES > log.baseIndex) log.compact(configuration.index - KEPT_ENTRIES)
+    if (configuration.index - RETAINED_ENTRIES > log.baseIndex) log.compact(configuration.index - RETAINED_ENTRIES)
     persist(toLogTick(tick), { kind: 'snapshot', snapshot: replica.snapshot, kept: log.rows() })
   }
 }
--- a/src/replicated-log/diskFormat.ts
+++ b/src/replicated-log/diskFormat.ts
@@ -1,4 +1,4 @@
-/** Frames of the log file: length, checksum, encoded record. A torn tail is found by the checksum. */
+/** Format of the log file: frames of length, CRC-32 and encoded record. The checksum detects a torn write at the end of the file. */
 
 import { crc32 } from 'node:zlib'
 import { Packr } from 'msgpackr'
@@ -15,10 +15,10 @@
   | { readonly kind: 'folder-unusable', readonly reason: string }
   | { readonly kind: 'already-founded' }
 
-/** What a log file holds, and how many of its bytes are whole. */
-export interface DecodedLog { readonly records: readonly DiskRecord[], readonly wholeBytes: number }
+/** Records of a log file, and the number of bytes up to the end of the last valid frame. */
+export interface DecodedLog { readonly records: readonly DiskRecord[], readonly validBytes: number }
 
-/** One record as a frame. */
+/** Encodes a record as one frame. */
 export const encodeRecord = (record: DiskRecord): Buffer => {
   const body = packr.pack(record)
   const frame = Buffer.allocUnsafe(HEADER_BYTES + body.length)
@@ -28,7 +28,7 @@
   return frame
 }
 
-/** Reads frames up to the first one that is not whole; damage before the tail is an error. */
+/** Decodes all frames. Ignores an incomplete or torn last frame; fails with `log-corrupt` when an earlier frame is damaged. */
 export const decodeLog = (file: Buffer): Outcome<DecodedLog, DiskError> => {
   const records: DiskRecord[] = []
   let offset = 0
@@ -38,17 +38,17 @@
     if (end > file.length) break
     const body = file.subarray(offset + HEADER_BYTES, end)
     if (crc32(body) !== file.readUInt32LE(offset + 4)) {
-      // Each frame is synced before the next is written, so only the last one may be torn.
+      // Each frame is synced before the next one is written, so only the last one can be torn.
       if (end < file.length) return fail({ kind: 'log-corrupt', offset })
       break
     }
     records.push(packr.unpack(body) as DiskRecord)
     offset = end
   }
-  return ok({ records, wholeBytes: offset })
+  return ok({ records, validBytes: offset })
 }
 
-/** Rebuilds what a replica knew from its records. */
+/** Replays the records of a log file into the state of the replica. */
 export const buildImage = (replica: ReplicaId, records: readonly DiskRecord[]): DiskImage => {
   let term = 0
   let votedFor: ReplicaId | null = null
--- a/src/replicated-log/diskStore.ts
+++ b/src/replicated-log/diskStore.ts
@@ -1,4 +1,4 @@
-/** The log on disk: one append-only file that a snapshot replaces by a new one. Runs at the edge, never inside a system. */
+/** The log on disk: one append-only file that is replaced atomically when a snapshot is written. Does I/O, so it runs at the edge and never inside a system. */
 
 import { closeSync, existsSync, fsync, fsyncSync, ftruncateSync, mkdirSync, openSync, readFileSync, renameSync, write, writeSync } from 'node:fs'
 import { promisify } from 'node:util'
@@ -40,10 +40,10 @@
 
 const describe = (error: unknown): string => error instanceof Error ? error.message : String(error)
 
-/** Whether a data folder holds a replica. */
+/** Whether a data folder already holds a replica. */
 export const hasReplica = (folder: string): boolean => existsSync(join(folder, REPLICA_FILE))
 
-/** Writes the first records of a replica into an empty folder. */
+/** Writes the initial records of a replica; fails with `already-founded` when the folder holds one. */
 export const createReplica = (folder: string, image: DiskImage): Outcome<null, DiskError> => {
   if (hasReplica(folder)) return fail({ kind: 'already-founded' })
   try {
@@ -72,7 +72,7 @@
     this.#vote = vote
   }
 
-  /** Opens a replica's folder, cuts a torn tail and returns what is whole. */
+  /** Opens the folder of a replica, truncates a torn last frame and returns the state that the valid records hold. */
   static open (folder: string): Outcome<{ store: DiskStore, image: DiskImage }, DiskError> {
     try {
       const replica = toId<ReplicaId>(readFileSync(join(folder, REPLICA_FILE), 'utf8'))
@@ -80,17 +80,17 @@
       const decoded = decodeLog(readFileSync(path))
       if (decoded.tag === 'error') return decoded
       const descriptor = openSync(path, 'r+')
-      ftruncateSync(descriptor, decoded.value.wholeBytes)
+      ftruncateSync(descriptor, decoded.value.validBytes)
       fsyncSync(descriptor)
       const image = buildImage(replica, decoded.value.records)
       const vote: DiskRecord = { kind: 'vote', term: image.term, votedFor: image.votedFor }
-      return ok({ store: new DiskStore(folder, descriptor, decoded.value.wholeBytes, vote), image })
+      return ok({ store: new DiskStore(folder, descriptor, decoded.value.validBytes, vote), image })
     } catch (error) {
       return fail({ kind: 'folder-unusable', reason: describe(error) })
     }
   }
 
-  /** Writes records and syncs them; rejects when the disk does not, which must end the process. */
+  /** Writes and syncs records. Rejects when a write or sync fails; the process must then exit, as the state on disk is unknown. */
   async write (records: readonly DiskRecord[]): Promise<void> {
     let pending: DiskRecord[] = []
     for (const record of records) {
@@ -106,7 +106,7 @@
   }
 
   async #append (records: readonly DiskRecord[]): Promise<void> {
-    // Each record is synced by itself unless it shares a frame, so that only the last frame may be torn.
+    // Syncs each frame before the next one is written, so that only the last frame can be torn.
     for (const record of mergeEntries(records)) {
       if (record.kind === 'vote') this.#vote = record
       const frame = encodeRecord(record)
@@ -117,7 +117,7 @@
   }
 
   #replace (record: Extract<DiskRecord, { kind: 'snapshot' }>): void {
-    // The new file must still hold the term and the vote.
+    // The new file must also contain the current term and vote.
     const content = Buffer.concat([this.#vote, record].map(encodeRecord))
     replaceFile(this.#folder, LOG_FILE, content)
     closeSync(this.#descriptor)
@@ -128,7 +128,7 @@
   close (): void { closeSync(this.#descriptor) }
 }
 
-// Entries that wait together go into one frame with one sync.
+// Merges consecutive entry records, so that entries that wait together need one frame and one sync.
 const mergeEntries = (records: readonly DiskRecord[]): DiskRecord[] => {
   const merged: DiskRecord[] = []
   for (const record of records) {
--- a/src/replicated-log/electionSystem.ts
+++ b/src/replicated-log/electionSystem.ts
@@ -1,8 +1,8 @@
-/** Elections: pre-vote keeps a host that returns from a long cut from disturbing a working leader. */
+/** Leader election with pre-vote: a replica that returns from a long partition doesn't depose a working leader by a higher term. */
 
 import type { Millis, System } from '../core/tick.js'
 import { NEVER } from '../core/tick.js'
-import { appendOwn, becomeFollower, drawCampaignRetryAt, drawElectionAt, isVoter, otherReplicas, persistVote, quorumSize, replicaAt, sendLog } from './replicaSteps.js'
+import { appendAsLeader, becomeFollower, drawCampaignRetryAt, drawElectionAt, isVoter, otherReplicas, persistVote, quorumSize, findReplicaOnHost, sendLogMessage } from './replicaSteps.js'
 import { ELECTION_TIMEOUT_MS } from './timing.js'
 import type { LogInput, LogOutput, LogTick, ReplicaTables } from './replicaSteps.js'
 import type { LogMessage } from './types.js'
@@ -17,10 +17,10 @@
   return request.lastIndex >= lastIndex
 }
 
-// While a leader is heard nobody else is elected; a leader itself hears from its quorum.
+// Replicas that are in contact with a leader grant no votes. A leader counts as in contact: check-quorum makes it step down otherwise.
 const hasLeader = (tick: LogTick): boolean => {
-  const { role, leaderHeardAt } = tick.tables.replica
-  return role === 'leader' || tick.now - leaderHeardAt < ELECTION_TIMEOUT_MS
+  const { role, lastLeaderContactAt } = tick.tables.replica
+  return role === 'leader' || tick.now - lastLeaderContactAt < ELECTION_TIMEOUT_MS
 }
 
 const requestVotes = (tick: LogTick, pre: boolean): void => {
@@ -28,7 +28,7 @@
   const term = pre ? replica.term + 1 : replica.term
   for (const other of otherReplicas(tick.tables)) {
     if (!isVoter(tick.tables, other.replica)) continue
-    sendLog(tick, other, { kind: 'vote-request', pre, term, replica: replica.self.replica, lastIndex: log.lastIndex, lastTerm: log.lastTerm }, !pre)
+    sendLogMessage(tick, other, { kind: 'vote-request', pre, term, replica: replica.self.replica, lastIndex: log.lastIndex, lastTerm: log.lastTerm }, !pre)
   }
 }
 
@@ -56,10 +56,10 @@
   }
   if (votes < quorumSize(tick.tables)) return
   if (replica.role === 'pre-candidate') campaign(tick, false)
-  else if (replica.role === 'candidate') lead(tick)
+  else if (replica.role === 'candidate') becomeLeader(tick)
 }
 
-const lead = (tick: LogTick): void => {
+const becomeLeader = (tick: LogTick): void => {
   const { replica, followers, log } = tick.tables
   replica.role = 'leader'
   replica.leader = replica.self.host
@@ -67,20 +67,20 @@
   replica.roundSendTimes.clear()
   followers.clear()
   for (const other of otherReplicas(tick.tables)) {
-    followers.put({ replica: other.replica, nextIndex: log.lastIndex + 1, matchIndex: 0, ackedRoundSentAt: tick.now, busyUntil: 0 })
+    followers.put({ replica: other.replica, nextIndex: log.lastIndex + 1, matchIndex: 0, ackedRoundSentAt: tick.now, inFlightUntil: 0 })
   }
-  appendOwn(tick, { kind: 'start-of-term' })
+  appendAsLeader(tick, { kind: 'start-of-term' })
 }
 
-/** Starts elections and answers them. */
+/** Runs campaigns when the election timer expires and answers vote requests. */
 export class ElectionSystem implements System<ReplicaTables, LogInput, LogOutput> {
   readonly name = 'election'
 
   run (tick: LogTick): void {
     for (const row of tick.inbox) {
       if (row.kind !== 'message') continue
-      if (row.message.kind === 'vote-request') this.#answer(tick, row.from, row.message)
-      else if (row.message.kind === 'vote-reply') this.#count(tick, row.message)
+      if (row.message.kind === 'vote-request') this.#answerVoteRequest(tick, row.from, row.message)
+      else if (row.message.kind === 'vote-reply') this.#countVoteReply(tick, row.message)
     }
     const replica = tick.tables.replica
     if (replica.role === 'leader' || tick.now < replica.electionAt) return
@@ -92,13 +92,13 @@
     return tables.replica.role === 'leader' ? NEVER : tables.replica.electionAt
   }
 
-  #answer (tick: LogTick, from: HostId, request: VoteRequest): void {
+  #answerVoteRequest (tick: LogTick, from: HostId, request: VoteRequest): void {
     const replica = tick.tables.replica
-    const to = replicaAt(tick.tables, from)
+    const to = findReplicaOnHost(tick.tables, from)
     if (to === undefined || !isVoter(tick.tables, request.replica) || !isVoter(tick.tables, replica.self.replica)) return
-    const mayFollow = !hasLeader(tick) && isLogCurrent(tick.tables, request)
+    const mayGrantVote = !hasLeader(tick) && isLogCurrent(tick.tables, request)
     if (!request.pre && request.term > replica.term && !hasLeader(tick)) becomeFollower(tick, request.term, null)
-    const granted = mayFollow && (request.pre
+    const granted = mayGrantVote && (request.pre
       ? request.term > replica.term
       : request.term === replica.term && (replica.votedFor === null || replica.votedFor === request.replica))
     if (granted && !request.pre && replica.votedFor === null) {
@@ -107,19 +107,19 @@
       persistVote(tick)
     }
     const term = granted && request.pre ? request.term : replica.term
-    sendLog(tick, to, { kind: 'vote-reply', pre: request.pre, term, replica: replica.self.replica, granted }, true)
+    sendLogMessage(tick, to, { kind: 'vote-reply', pre: request.pre, term, replica: replica.self.replica, granted }, true)
   }
 
-  #count (tick: LogTick, reply: VoteReply): void {
+  #countVoteReply (tick: LogTick, reply: VoteReply): void {
     const replica = tick.tables.replica
     if (!reply.granted) {
       if (reply.term > replica.term) becomeFollower(tick, reply.term, null)
       return
     }
-    const isWanted = reply.pre
+    const isForCurrentCampaign = reply.pre
       ? replica.role === 'pre-candidate' && reply.term === replica.term + 1
       : replica.role === 'candidate' && reply.term === replica.term
-    if (!isWanted) return
+    if (!isForCurrentCampaign) return
     replica.votes.add(reply.replica)
     countVotes(tick)
   }
--- a/src/replicated-log/exhaustiveSearch.spec.ts
+++ b/src/replicated-log/exhaustiveSearch.spec.ts
@@ -7,7 +7,7 @@
 import { createConfiguration } from '../configuration/configurationTables.js'
 import { ElectionSystem } from './electionSystem.js'
 import { ReplicationReceiveSystem, ReplicationSendSystem } from './replicationSystem.js'
-import { appendOwn, quorumSize } from './replicaSteps.js'
+import { appendAsLeader, quorumSize } from './replicaSteps.js'
 import type { LogInput, LogOutput, ReplicaTables } from './replicaSteps.js'
 import { createLogTables, foundingImage } from './replicaTables.js'
 import type { LogMessage, Replica, ReplicaId } from './types.js'
@@ -28,7 +28,7 @@
   worlds: REPLICAS.map((self, number) => {
     const systems = [new ElectionSystem(), new ReplicationReceiveSystem(), new ReplicationSendSystem()] as Array<System<ReplicaTables, LogInput, LogOutput>>
     const tables = { ...createLogTables(self, foundingImage(self.replica, { voters: REPLICAS, learners: [] }), 0, Number.POSITIVE_INFINITY), configuration: createConfiguration() }
-    tables.replica.leaderHeardAt = -ELECTION_DUE
+    tables.replica.lastLeaderContactAt = -ELECTION_DUE
     return { tables, systems, random: new SeededRandom(number) }
   }),
   flights: [],
@@ -66,7 +66,7 @@
     if (world === undefined) return
     state.proposals += 1
     const tick = { now: state.now, random: world.random, tables: world.tables, inbox: [], emit: () => {} }
-    appendOwn(tick, { kind: 'command', envelope: { requestId: toId<RequestId>(`r${state.proposals}`), operator: toId<OperatorId>('x'), roles: [], command: { kind: 'remove-host', host: toId('h') } } })
+    appendAsLeader(tick, { kind: 'command', envelope: { requestId: toId<RequestId>(`r${state.proposals}`), operator: toId<OperatorId>('x'), roles: [], command: { kind: 'remove-host', host: toId('h') } } })
     tickReplica(state, step.replica, [])
   }
 }
--- a/src/replicated-log/logProtocol.spec.ts
+++ b/src/replicated-log/logProtocol.spec.ts
@@ -5,7 +5,7 @@
 import type { CommandEnvelope } from '../configuration/types.js'
 import { VirtualControl } from '../stand-ins/virtualControl.js'
 import { VirtualFleet } from '../stand-ins/virtualFleet.js'
-import { SNAPSHOT_EVERY } from './commitSystem.js'
+import { SNAPSHOT_INTERVAL_ENTRIES } from './commitSystem.js'
 import type { CallId } from './types.js'
 
 const NAMES = ['c1', 'c2', 'c3']
@@ -234,7 +234,7 @@
   control.start(down)
   fleet.runFor(4_000)
   t.equal(control.tables(down).configuration.index, control.tables(leader).configuration.index)
-  t.ok((control.tables(leader).replica.snapshot?.index ?? 0) >= SNAPSHOT_EVERY, 'the log was compacted')
+  t.ok((control.tables(leader).replica.snapshot?.index ?? 0) >= SNAPSHOT_INTERVAL_ENTRIES, 'the log was compacted')
   t.equal(control.tables(down).replica.snapshot?.index, control.tables(leader).replica.snapshot?.index, 'the snapshot was installed')
 })
 
--- a/src/replicated-log/logTable.ts
+++ b/src/replicated-log/logTable.ts
@@ -1,11 +1,11 @@
-/** The entries after the last snapshot, by index. */
+/** In-memory log: the entries after the last snapshot, by index. */
 
 import type { LogIndex } from '../configuration/types.js'
 import { invariant } from '../core/outcome.js'
 
 interface Position { readonly index: LogIndex, readonly term: number }
 
-/** A run of consecutive entries that follows a known index and term. */
+/** Consecutive entries that follow a base index and its term. */
 export class LogTable<Entry extends Position> {
   #entries: Entry[] = []
   #baseIndex: LogIndex
@@ -25,38 +25,38 @@
 
   get (index: LogIndex): Entry | undefined { return this.#entries[index - this.#baseIndex - 1] }
 
-  /** The term at an index; undefined outside the table. */
+  /** Returns the term at an index; undefined outside the table. */
   termAt (index: LogIndex): number | undefined {
     return index === this.#baseIndex ? this.#baseTerm : this.get(index)?.term
   }
 
   append (entry: Entry): void {
-    invariant(entry.index === this.lastIndex + 1, `entry ${entry.index} does not follow ${this.lastIndex}`)
+    invariant(entry.index === this.lastIndex + 1, `cannot append entry ${entry.index} after index ${this.lastIndex}`)
     this.#entries.push(entry)
   }
 
-  /** Drops this index and everything after it. */
+  /** Drops the entry at the index and all later ones. */
   truncateFrom (index: LogIndex): void {
-    invariant(index > this.#baseIndex, 'entries of a snapshot are committed and cannot be dropped')
+    invariant(index > this.#baseIndex, 'cannot truncate entries that are covered by a snapshot: they are committed')
     this.#entries.length = Math.max(0, index - this.#baseIndex - 1)
   }
 
-  /** Up to a number of entries from an index on. */
-  slice (from: LogIndex, most: number): readonly Entry[] {
+  /** Returns up to `limit` entries, beginning at an index. */
+  slice (from: LogIndex, limit: number): readonly Entry[] {
     const offset = from - this.#baseIndex - 1
-    return this.#entries.slice(offset, offset + most)
+    return this.#entries.slice(offset, offset + limit)
   }
 
-  /** Forgets the entries up to an index. */
+  /** Drops the entries up to and including the index, which becomes the base. */
   compact (index: LogIndex): void {
     const term = this.termAt(index)
-    invariant(term !== undefined, `no entry at ${index}`)
+    invariant(term !== undefined, `cannot compact the log at ${index}: no entry at this index`)
     this.#entries = this.#entries.slice(index - this.#baseIndex)
     this.#baseIndex = index
     this.#baseTerm = term
   }
 
-  /** Starts anew after a snapshot. */
+  /** Drops all entries and starts after an installed snapshot. */
   reset (index: LogIndex, term: number): void {
     this.#entries = []
     this.#baseIndex = index
--- a/src/replicated-log/readSystem.ts
+++ b/src/replicated-log/readSystem.ts
@@ -1,18 +1,19 @@
-/** Reads that a quorum vouches for: the leader answers once a round that it sent after the question has been confirmed. */
+/** Linearizable reads (read index): the leader answers once a quorum has acknowledged a round that was sent after the read arrived. */
 
 import { NEVER } from '../core/tick.js'
 import type { Millis, System, Tick } from '../core/tick.js'
 import { isVoter, quorumSize } from './replicaSteps.js'
 import type { LogTables, ReadAnswered, ReadRequested } from './types.js'
 
-/** A question without a confirmed round after this time gets no answer from here. */
-const READ_PATIENCE: Millis = 800
+/** Time after which a read that no quorum has confirmed fails with `outcome-unknown`. */
+const READ_TIMEOUT_MS: Millis = 800
 
 type ReadInput = ReadRequested | { readonly kind: 'other' }
 type ReadTick = Tick<LogTables, ReadInput, ReadAnswered>
 
-// The leader itself counts at the present; a later leader cannot have been elected before a round that a quorum answered.
-const confirmedAt = (tables: LogTables, now: Millis): Millis => {
+// Returns the latest time at which a quorum is known to have had no later leader: the send time of the newest round that a quorum
+// has acknowledged. The leader counts itself at the present time.
+const quorumConfirmedAt = (tables: LogTables, now: Millis): Millis => {
   const times: Millis[] = isVoter(tables, tables.replica.self.replica) ? [now] : []
   for (const row of tables.followers.rows()) {
     if (isVoter(tables, row.replica)) times.push(row.ackedRoundSentAt)
@@ -21,7 +22,7 @@
   return times[quorumSize(tables) - 1] ?? Number.NEGATIVE_INFINITY
 }
 
-/** Answers reads. */
+/** Answers reads on the leader; other replicas reject them with `not-leader`. */
 export class ReadSystem implements System<LogTables, ReadInput, ReadAnswered> {
   readonly name = 'read'
 
@@ -37,19 +38,19 @@
 
   deadline (tables: LogTables): Millis {
     const oldest = tables.reads.first()
-    return oldest === undefined ? NEVER : oldest.askedAt + READ_PATIENCE
+    return oldest === undefined ? NEVER : oldest.askedAt + READ_TIMEOUT_MS
   }
 
   #answer (tick: ReadTick): void {
     const { replica, reads, log } = tick.tables
     const isLeader = replica.role === 'leader'
-    const isSettled = isLeader && log.termAt(replica.commit) === replica.term
-    const newest = isSettled ? confirmedAt(tick.tables, tick.now) : Number.NEGATIVE_INFINITY
+    const hasCommittedInTerm = isLeader && log.termAt(replica.commit) === replica.term
+    const newestConfirmedAt = hasCommittedInTerm ? quorumConfirmedAt(tick.tables, tick.now) : Number.NEGATIVE_INFINITY
     for (const row of [...reads.rows()]) {
-      const isVouched = newest >= row.askedAt
-      if (isLeader && !isVouched && tick.now - row.askedAt < READ_PATIENCE) continue
+      const isConfirmed = newestConfirmedAt >= row.askedAt
+      if (isLeader && !isConfirmed && tick.now - row.askedAt < READ_TIMEOUT_MS) continue
       reads.remove(row.call)
-      const error = isVouched ? null : isLeader ? { kind: 'outcome-unknown' as const } : { kind: 'not-leader' as const, leader: replica.leader }
+      const error = isConfirmed ? null : isLeader ? { kind: 'outcome-unknown' as const } : { kind: 'not-leader' as const, leader: replica.leader }
       tick.emit({ kind: 'read-answer', call: row.call, error })
     }
   }
--- a/src/replicated-log/replicaSteps.ts
+++ b/src/replicated-log/replicaSteps.ts
@@ -1,51 +1,48 @@
-/** Small steps that the parts of the log protocol share. */
+/** Operations shared by the systems of the replicated log. */
 
 import type { HostId } from '../core/id.js'
 import type { Millis, Tick } from '../core/tick.js'
 import type { Configuration } from '../configuration/configurationTables.js'
-import { CAMPAIGN_RETRY, ELECTION_TIMEOUT_MS } from './timing.js'
+import { CAMPAIGN_RETRY_MS, ELECTION_TIMEOUT_MS } from './timing.js'
 import { latestGroup } from './replicaTables.js'
 import type { CommandProposed, DiskRecord, Entry, LogMessage, LogMessageSent, LogTables, Payload, Persisted, PersistRequested, ProposalAnswered, Replica, ReplicaAdmitted, ReplicaId } from './types.js'
 import type { MessageReceived } from '../membership/types.js'
 
-/** Entries in one append message. */
-export const ENTRIES_PER_APPEND = 64
+export const MAX_ENTRIES_PER_APPEND = 64
 
-/** Tables that the log protocol works on. */
+/** Tables that the systems of the log use. */
 export type ReplicaTables = LogTables & { readonly configuration: Configuration }
-/** Rows that the log protocol takes. */
+/** Inbox rows that the systems of the log handle. */
 export type LogInput = MessageReceived<LogMessage> | Persisted | CommandProposed | ReplicaAdmitted
-/** Rows that the log protocol gives. */
+/** Outbox rows that the systems of the log emit. */
 export type LogOutput = LogMessageSent | PersistRequested | ProposalAnswered
-/** One tick as seen by the log protocol. */
 export type LogTick = Tick<ReplicaTables, LogInput, LogOutput>
 
-/** Draws the next time for a campaign that has not won; those who campaigned together rarely do so again. */
-export const drawCampaignRetryAt = (tick: LogTick): Millis => tick.now + CAMPAIGN_RETRY + tick.random.below(CAMPAIGN_RETRY)
+/** Draws when to repeat a campaign without a majority; the random delay separates candidates that split the vote. */
+export const drawCampaignRetryAt = (tick: LogTick): Millis => tick.now + CAMPAIGN_RETRY_MS + tick.random.below(CAMPAIGN_RETRY_MS)
 
-/** Draws the next time for an election; spread out so that replicas rarely campaign together. */
+/** Draws the next election time; the random delay makes simultaneous campaigns rare. */
 export const drawElectionAt = (tick: LogTick): Millis => tick.now + ELECTION_TIMEOUT_MS + tick.random.below(ELECTION_TIMEOUT_MS)
 
-/** Voters that must agree. */
+/** Returns the number of voters that form a majority. */
 export const quorumSize = (tables: LogTables): number => Math.floor(tables.replica.group.voters.length / 2) + 1
 
-/** Whether a replica decides in the present group. */
+/** Whether a replica is a voter of the current group. */
 export const isVoter = (tables: LogTables, replica: ReplicaId): boolean =>
   tables.replica.group.voters.some(voter => voter.replica === replica)
 
-/** All other replicas of the group. */
+/** Returns all other voters and learners of the current group. */
 export const otherReplicas = (tables: LogTables): Replica[] => {
   const { group, self } = tables.replica
   return [...group.voters, ...group.learners].filter(row => row.replica !== self.replica)
 }
 
-/** Sends a message to a replica's host. */
-export const sendLog = (tick: LogTick, to: Replica, message: LogMessage, afterSync: boolean): void => {
+export const sendLogMessage = (tick: LogTick, to: Replica, message: LogMessage, afterSync: boolean): void => {
   tick.emit({ kind: 'send', to: to.host, address: to.link, message, afterSync })
 }
 
-/** Finds the replica that runs on a host, for replies. */
-export const replicaAt = (tables: LogTables, host: HostId): Replica | undefined =>
+/** Finds the replica on a host, so that its message can be answered; also searches the replicas that ask to join. */
+export const findReplicaOnHost = (tables: LogTables, host: HostId): Replica | undefined =>
   otherReplicas(tables).find(row => row.host === host) ?? tables.joining.get(host)
 
 const lastIndexOf = (tables: LogTables, record: DiskRecord): number => {
@@ -53,7 +50,7 @@
   return tables.log.lastIndex
 }
 
-/** Asks the edge to write and sync a record. */
+/** Emits a request to write and sync a record, and tracks it until it is synced. */
 export const persist = (tick: LogTick, record: DiskRecord): void => {
   const replica = tick.tables.replica
   replica.persistSequence += 1
@@ -61,18 +58,18 @@
   tick.emit({ kind: 'persist', record, sequence: replica.persistSequence })
 }
 
-/** Writes the present term and vote. */
+/** Persists the current term and vote. */
 export const persistVote = (tick: LogTick): void => {
   const { term, votedFor } = tick.tables.replica
   persist(tick, { kind: 'vote', term, votedFor })
 }
 
-/** Brings the group up to date after the log has changed. */
+/** Recomputes the current group after entries were appended or dropped. */
 export const refreshGroup = (tables: LogTables): void => {
   tables.replica.group = latestGroup(tables.replica, tables.log.rows())
 }
 
-/** Ends calls whose entries this replica can no longer vouch for. */
+/** Answers all pending proposals with `outcome-unknown`: after the loss of leadership their entries may still be committed or dropped. */
 export const failProposals = (tick: LogTick): void => {
   for (const row of [...tick.tables.proposals.rows()]) {
     tick.tables.proposals.remove(row.index)
@@ -84,7 +81,7 @@
   if (admission.call !== null) tick.emit({ kind: 'proposal-answer', call: admission.call, receipt: null, error: { kind: 'outcome-unknown' } })
 }
 
-/** Follows a term; a leader that does so gives up its lead. */
+/** Becomes a follower and adopts a newer term; a leader steps down. */
 export const becomeFollower = (tick: LogTick, term: number, leader: HostId | null): void => {
   const replica = tick.tables.replica
   if (replica.role === 'leader') failProposals(tick)
@@ -98,8 +95,8 @@
   persistVote(tick)
 }
 
-/** Appends an entry of the leader's own term. */
-export const appendOwn = (tick: LogTick, payload: Payload): Entry => {
+/** Appends and persists an entry in the current term; for leaders only. */
+export const appendAsLeader = (tick: LogTick, payload: Payload): Entry => {
   const { log, replica } = tick.tables
   const entry: Entry = { index: log.lastIndex + 1, term: replica.term, payload }
   log.append(entry)
--- a/src/replicated-log/replicaTables.ts
+++ b/src/replicated-log/replicaTables.ts
@@ -1,4 +1,4 @@
-/** The tables of a replica at its start, from what its disk holds. */
+/** Builds the tables of a replica at startup from its disk image. */
 
 import type { HostId } from '../core/id.js'
 import { RowTable } from '../core/table.js'
@@ -8,19 +8,19 @@
 import { ELECTION_TIMEOUT_MS, STARTUP_GRACE_MS } from './timing.js'
 import type { CallId, DiskImage, Entry, FollowerRow, Group, JoinRow, LogTables, ProposalRow, ReadRow, Replica, ReplicaId } from './types.js'
 
-/** Nobody: a replica that has not been admitted knows no group and never votes. */
-export const NO_GROUP: Group = { voters: [], learners: [] }
+/** Group of a replica that has not been admitted; without a group it never votes. */
+export const EMPTY_GROUP: Group = { voters: [], learners: [] }
 
-/** The newest group in the log, committed or not. */
+/** Returns the newest group in the log, committed or not; falls back to the group of the snapshot. */
 export const latestGroup = (image: Pick<DiskImage, 'snapshot'>, entries: readonly Entry[]): Group => {
   for (let position = entries.length - 1; position >= 0; position -= 1) {
     const payload = entries[position]?.payload
     if (payload?.kind === 'group') return payload.group
   }
-  return image.snapshot?.group ?? NO_GROUP
+  return image.snapshot?.group ?? EMPTY_GROUP
 }
 
-/** A replica as it starts; it gives a leader that is there time to be heard before it campaigns or votes. */
+/** Creates the tables of a starting replica. It doesn't campaign or vote during the startup grace period, so that an existing leader can contact it first. */
 export const createLogTables = (self: Replica, image: DiskImage, now: Millis, electionAt: Millis): LogTables => {
   const base = image.snapshot
   const log = new LogTable(base?.index ?? 0, base?.term ?? 0, image.entries)
@@ -32,7 +32,7 @@
       votedFor: image.votedFor,
       leader: null,
       commit: base?.index ?? 0,
-      leaderHeardAt: now - ELECTION_TIMEOUT_MS + STARTUP_GRACE_MS,
+      lastLeaderContactAt: now - ELECTION_TIMEOUT_MS + STARTUP_GRACE_MS,
       electionAt,
       nextHeartbeatAt: Number.POSITIVE_INFINITY,
       round: 0,
@@ -46,7 +46,7 @@
       snapshot: base,
       admission: null,
       vouchSequence: 0,
-      vouchAt: now
+      nextVouchAt: now
     },
     log,
     followers: new RowTable<ReplicaId, FollowerRow>(row => row.replica),
@@ -56,7 +56,7 @@
   }
 }
 
-/** The first disk image of a new group; every founding member makes the same one. */
+/** Returns the initial disk image of a new group; apart from the replica's id it is identical on every founding member. */
 export const foundingImage = (replica: ReplicaId, group: Group): DiskImage => ({
   replica,
   term: 0,
--- a/src/replicated-log/replicationSystem.ts
+++ b/src/replicated-log/replicationSystem.ts
@@ -1,11 +1,11 @@
-/** Replication: the leader sends entries or a snapshot, followers sync them before they answer. */
+/** Log replication: the leader sends entries or a snapshot; followers sync them to disk before they reply. */
 
 import type { HostId } from '../core/id.js'
 import type { Millis, System } from '../core/tick.js'
 import { NEVER } from '../core/tick.js'
 import { installSnapshot } from '../configuration/configurationTables.js'
-import { ENTRIES_PER_APPEND, becomeFollower, drawElectionAt, isVoter, otherReplicas, persist, quorumSize, refreshGroup, replicaAt, sendLog } from './replicaSteps.js'
-import { ELECTION_TIMEOUT_MS, HEARTBEAT } from './timing.js'
+import { MAX_ENTRIES_PER_APPEND, becomeFollower, drawElectionAt, isVoter, otherReplicas, persist, quorumSize, refreshGroup, findReplicaOnHost, sendLogMessage } from './replicaSteps.js'
+import { ELECTION_TIMEOUT_MS, HEARTBEAT_INTERVAL_MS } from './timing.js'
 import type { LogInput, LogOutput, LogTick, ReplicaTables } from './replicaSteps.js'
 import type { Entry, FollowerRow, LogMessage, Replica } from './types.js'
 
@@ -13,14 +13,15 @@
 type AppendReply = Extract<LogMessage, { kind: 'append-reply' }>
 type Install = Extract<LogMessage, { kind: 'install' }>
 
-/** Entries in flight are sent again after this time without an answer. */
-const RESEND: Millis = 500
-const KEPT_ROUNDS = 64
+/** Entries in flight are resent after this time without a reply. */
+const RESEND_TIMEOUT_MS: Millis = 500
+/** Rounds whose send time is retained; replies to older rounds confirm nothing. */
+const RETAINED_ROUNDS = 64
 
 const followerOf = (tick: LogTick, replica: Replica): FollowerRow => {
   let row = tick.tables.followers.get(replica.replica)
   if (row === undefined) {
-    row = { replica: replica.replica, nextIndex: tick.tables.log.lastIndex + 1, matchIndex: 0, ackedRoundSentAt: tick.now, busyUntil: 0 }
+    row = { replica: replica.replica, nextIndex: tick.tables.log.lastIndex + 1, matchIndex: 0, ackedRoundSentAt: tick.now, inFlightUntil: 0 }
     tick.tables.followers.put(row)
   }
   return row
@@ -30,25 +31,25 @@
   const replica = tick.tables.replica
   replica.round += 1
   replica.roundSendTimes.set(replica.round, tick.now)
-  replica.roundSendTimes.delete(replica.round - KEPT_ROUNDS)
+  replica.roundSendTimes.delete(replica.round - RETAINED_ROUNDS)
 }
 
 const sendEntries = (tick: LogTick, to: Replica, follower: FollowerRow, isHeartbeat: boolean): void => {
   const { replica, log } = tick.tables
   const { term, round, self } = replica
-  const isBusy = tick.now < follower.busyUntil
+  const isInFlight = tick.now < follower.inFlightUntil
   if (follower.nextIndex <= log.baseIndex && replica.snapshot !== null) {
-    if (isBusy) return
-    follower.busyUntil = tick.now + RESEND
-    sendLog(tick, to, { kind: 'install', term, replica: self.replica, round, snapshot: replica.snapshot }, false)
+    if (isInFlight) return
+    follower.inFlightUntil = tick.now + RESEND_TIMEOUT_MS
+    sendLogMessage(tick, to, { kind: 'install', term, replica: self.replica, round, snapshot: replica.snapshot }, false)
     return
   }
-  const entries = isBusy ? [] : log.slice(follower.nextIndex, ENTRIES_PER_APPEND)
+  const entries = isInFlight ? [] : log.slice(follower.nextIndex, MAX_ENTRIES_PER_APPEND)
   if (entries.length === 0 && !isHeartbeat) return
   const previousIndex = follower.nextIndex - 1
   const previousTerm = log.termAt(previousIndex) ?? 0
-  if (entries.length > 0) follower.busyUntil = tick.now + RESEND
-  sendLog(tick, to, { kind: 'append', term, replica: self.replica, round, previousIndex, previousTerm, entries, commit: replica.commit }, false)
+  if (entries.length > 0) follower.inFlightUntil = tick.now + RESEND_TIMEOUT_MS
+  sendLogMessage(tick, to, { kind: 'append', term, replica: self.replica, round, previousIndex, previousTerm, entries, commit: replica.commit }, false)
 }
 
 const firstConflict = (tick: LogTick, entries: readonly Entry[]): number => {
@@ -59,8 +60,8 @@
   return entries.length
 }
 
-// What was synced of the dropped entries must not count for those that take their place.
-const dropFrom = (tick: LogTick, index: number): void => {
+// Lowers the synced index along with the log: a completed sync of dropped entries must not count for the entries that replace them.
+const truncateLogFrom = (tick: LogTick, index: number): void => {
   const { log, replica } = tick.tables
   log.truncateFrom(index)
   replica.syncedIndex = Math.min(replica.syncedIndex, index - 1)
@@ -69,26 +70,26 @@
 
 const storeEntries = (tick: LogTick, entries: readonly Entry[]): void => {
   const log = tick.tables.log
-  const fresh = entries.slice(firstConflict(tick, entries))
-  const first = fresh[0]
+  const newEntries = entries.slice(firstConflict(tick, entries))
+  const first = newEntries[0]
   if (first === undefined) return
-  if (first.index <= log.lastIndex) dropFrom(tick, first.index)
-  for (const entry of fresh) log.append(entry)
+  if (first.index <= log.lastIndex) truncateLogFrom(tick, first.index)
+  for (const entry of newEntries) log.append(entry)
   refreshGroup(tick.tables)
-  persist(tick, { kind: 'entries', entries: fresh })
+  persist(tick, { kind: 'entries', entries: newEntries })
 }
 
-/** Stores entries and takes their confirmations. */
+/** Handles append and install messages on followers and their replies on the leader; the leader also runs check-quorum. */
 export class ReplicationReceiveSystem implements System<ReplicaTables, LogInput, LogOutput> {
   readonly name = 'replication-receive'
 
   run (tick: LogTick): void {
     for (const row of tick.inbox) {
-      if (row.kind === 'persisted') this.#noteSynced(tick, row.sequence)
+      if (row.kind === 'persisted') this.#recordSync(tick, row.sequence)
       if (row.kind !== 'message') continue
-      if (row.message.kind === 'append') this.#takeAppend(tick, row.from, row.message)
-      else if (row.message.kind === 'append-reply') this.#takeReply(tick, row.message)
-      else if (row.message.kind === 'install') this.#takeInstall(tick, row.from, row.message)
+      if (row.message.kind === 'append') this.#handleAppend(tick, row.from, row.message)
+      else if (row.message.kind === 'append-reply') this.#handleAppendReply(tick, row.message)
+      else if (row.message.kind === 'install') this.#handleInstall(tick, row.from, row.message)
       else if (row.message.kind === 'join') tick.tables.joining.put({ ...row.message.replica, heardAt: tick.now })
     }
     if (tick.tables.replica.role === 'leader') this.#checkQuorum(tick)
@@ -96,7 +97,7 @@
 
   deadline (): Millis { return NEVER }
 
-  // Check quorum: a leader that its quorum no longer answers stops leading before another one can be elected for long.
+  // Check-quorum: a leader that no quorum has acknowledged for an election timeout steps down.
   #checkQuorum (tick: LogTick): void {
     let confirmed = isVoter(tick.tables, tick.tables.replica.self.replica) ? 1 : 0
     for (const row of tick.tables.followers.rows()) {
@@ -105,7 +106,7 @@
     if (confirmed < quorumSize(tick.tables)) becomeFollower(tick, tick.tables.replica.term, null)
   }
 
-  #noteSynced (tick: LogTick, sequence: number): void {
+  #recordSync (tick: LogTick, sequence: number): void {
     const replica = tick.tables.replica
     replica.syncedSequence = Math.max(replica.syncedSequence, sequence)
     for (const [pending, index] of replica.unsynced) {
@@ -115,32 +116,32 @@
     }
   }
 
-  #follow (tick: LogTick, from: HostId, term: number): boolean {
+  #acceptLeader (tick: LogTick, from: HostId, term: number): boolean {
     const replica = tick.tables.replica
     if (term < replica.term) return false
     if (term > replica.term || replica.role !== 'follower') becomeFollower(tick, term, from)
     replica.leader = from
-    replica.leaderHeardAt = tick.now
+    replica.lastLeaderContactAt = tick.now
     replica.electionAt = drawElectionAt(tick)
     return true
   }
 
   #reply (tick: LogTick, from: HostId, round: number, success: boolean, match: number): void {
     const { replica } = tick.tables
-    const to = replicaAt(tick.tables, from)
+    const to = findReplicaOnHost(tick.tables, from)
     if (to === undefined) return
-    sendLog(tick, to, { kind: 'append-reply', term: replica.term, replica: replica.self.replica, round, success, match }, true)
+    sendLogMessage(tick, to, { kind: 'append-reply', term: replica.term, replica: replica.self.replica, round, success, match }, true)
   }
 
-  #takeAppend (tick: LogTick, from: HostId, message: Append): void {
+  #handleAppend (tick: LogTick, from: HostId, message: Append): void {
     const { log, replica } = tick.tables
-    this.#noteSender(tick, from, message.replica)
-    if (!this.#follow(tick, from, message.term)) {
+    this.#recordSender(tick, from, message.replica)
+    if (!this.#acceptLeader(tick, from, message.term)) {
       this.#reply(tick, from, message.round, false, 0)
       return
     }
-    const isKnown = message.previousIndex < log.baseIndex || log.termAt(message.previousIndex) === message.previousTerm
-    if (!isKnown) {
+    const matchesPrevious = message.previousIndex < log.baseIndex || log.termAt(message.previousIndex) === message.previousTerm
+    if (!matchesPrevious) {
       this.#reply(tick, from, message.round, false, Math.min(log.lastIndex, message.previousIndex - 1))
       return
     }
@@ -150,16 +151,16 @@
     this.#reply(tick, from, message.round, true, match)
   }
 
-  // A replica outside any group knows no address for its reply but that of who speaks to it.
-  #noteSender (tick: LogTick, from: HostId, replica: Replica['replica']): void {
-    if (replicaAt(tick.tables, from) !== undefined) return
+  // A replica without a group has no address for the leader. This row lets it reply: the empty address makes the edge use the existing link.
+  #recordSender (tick: LogTick, from: HostId, replica: Replica['replica']): void {
+    if (findReplicaOnHost(tick.tables, from) !== undefined) return
     tick.tables.joining.put({ replica, host: from, link: { address: '', port: 0 }, heardAt: tick.now })
   }
 
-  #takeInstall (tick: LogTick, from: HostId, message: Install): void {
+  #handleInstall (tick: LogTick, from: HostId, message: Install): void {
     const { log, replica, configuration } = tick.tables
-    this.#noteSender(tick, from, message.replica)
-    if (!this.#follow(tick, from, message.term)) {
+    this.#recordSender(tick, from, message.replica)
+    if (!this.#acceptLeader(tick, from, message.term)) {
       this.#reply(tick, from, message.round, false, 0)
       return
     }
@@ -177,7 +178,7 @@
     this.#reply(tick, from, message.round, true, Math.max(snapshot.index, replica.commit))
   }
 
-  #takeReply (tick: LogTick, reply: AppendReply): void {
+  #handleAppendReply (tick: LogTick, reply: AppendReply): void {
     const { replica, followers, log } = tick.tables
     if (reply.term > replica.term) {
       becomeFollower(tick, reply.term, null)
@@ -187,17 +188,17 @@
     if (replica.role !== 'leader' || reply.term !== replica.term || follower === undefined) return
     follower.ackedRoundSentAt = Math.max(follower.ackedRoundSentAt, replica.roundSendTimes.get(reply.round) ?? follower.ackedRoundSentAt)
     if (reply.success) {
-      if (reply.match > follower.matchIndex) follower.busyUntil = 0
+      if (reply.match > follower.matchIndex) follower.inFlightUntil = 0
       follower.matchIndex = Math.max(follower.matchIndex, reply.match)
       follower.nextIndex = Math.max(follower.nextIndex, follower.matchIndex + 1)
     } else {
       follower.nextIndex = Math.max(follower.matchIndex + 1, Math.min(reply.match + 1, log.lastIndex + 1))
-      follower.busyUntil = 0
+      follower.inFlightUntil = 0
     }
   }
 }
 
-/** Sends entries, snapshots and heartbeats. */
+/** Sends entries, snapshots and heartbeats from the leader. */
 export class ReplicationSendSystem implements System<ReplicaTables, LogInput, LogOutput> {
   readonly name = 'replication-send'
 
@@ -207,7 +208,7 @@
     const isHeartbeat = tick.now >= replica.nextHeartbeatAt
     if (isHeartbeat) {
       startRound(tick)
-      replica.nextHeartbeatAt = tick.now + HEARTBEAT
+      replica.nextHeartbeatAt = tick.now + HEARTBEAT_INTERVAL_MS
     }
     for (const other of otherReplicas(tick.tables)) sendEntries(tick, other, followerOf(tick, other), isHeartbeat)
   }
--- a/src/replicated-log/timing.ts
+++ b/src/replicated-log/timing.ts
@@ -1,12 +1,11 @@
-/** Times of the log protocol. */
+/** Timeouts and intervals of the Raft protocol. */
 
 import type { Millis } from '../core/tick.js'
 
-/** Shortest silence of a leader after which another may be elected. */
+/** Minimum time without contact to a leader before an election starts. */
 export const ELECTION_TIMEOUT_MS: Millis = 1_000
-/** Shortest time after which a campaign without enough votes is begun again: longer than a vote takes between regions, its sync included. */
-export const CAMPAIGN_RETRY: Millis = 300
-/** Time between two heartbeats of a leader. */
-export const HEARTBEAT: Millis = 300
-/** A replica that starts waits this long for a leader that is there: it would hear a heartbeat, a new connection to it included. */
+/** Minimum delay before a campaign without a majority is repeated; longer than a vote between regions takes, including the disk sync. */
+export const CAMPAIGN_RETRY_MS: Millis = 300
+export const HEARTBEAT_INTERVAL_MS: Millis = 300
+/** Time that a starting replica waits for an existing leader; enough for a new connection and one heartbeat. */
 export const STARTUP_GRACE_MS: Millis = 500
--- a/src/replicated-log/types.ts
+++ b/src/replicated-log/types.ts
@@ -8,25 +8,25 @@
 import type { MessageSent } from '../membership/types.js'
 import type { LogTable } from './logTable.js'
 
-/** One life of a control host's disk: a host whose disk is lost comes back as another replica. */
+/** Identifies a replica by its disk: a host that loses its disk comes back under a new id and must be admitted again. */
 export type ReplicaId = Id<'Replica'>
-/** One request of an operator at the edge. */
+/** Identifies one call of an operator that waits for an answer. */
 export type CallId = Id<'Call'>
 
-/** A replica with the host that it runs on. */
+/** A replica, the host that it runs on and the address of that host for links. */
 export interface Replica {
   readonly replica: ReplicaId
   readonly host: HostId
   readonly link: Address
 }
 
-/** Who holds the log: voters decide, learners only receive. */
+/** Members of the Raft group: voters count for quorums, learners only receive entries. */
 export interface Group {
   readonly voters: readonly Replica[]
   readonly learners: readonly Replica[]
 }
 
-/** What an entry of the log does. */
+/** Content of a log entry. */
 export type Payload =
   | { readonly kind: 'start-of-term' }
   | { readonly kind: 'command', readonly envelope: CommandEnvelope }
@@ -39,7 +39,7 @@
   readonly payload: Payload
 }
 
-/** The configuration at an index, in place of the entries up to it. */
+/** State of the configuration at an index; replaces the log entries up to and including that index. */
 export interface LogSnapshot {
   readonly index: LogIndex
   readonly term: number
@@ -47,13 +47,13 @@
   readonly configuration: ConfigurationSnapshot
 }
 
-/** What must be on disk before anything that depends on it is said. */
+/** A record that must be synced to disk before any message that depends on it is sent. */
 export type DiskRecord =
   | { readonly kind: 'vote', readonly term: number, readonly votedFor: ReplicaId | null }
   | { readonly kind: 'entries', readonly entries: readonly Entry[] }
   | { readonly kind: 'snapshot', readonly snapshot: LogSnapshot, readonly kept: readonly Entry[] }
 
-/** What a replica finds on its disk at the start. */
+/** State that a replica reads from its disk at startup. */
 export interface DiskImage {
   readonly replica: ReplicaId
   readonly term: number
@@ -62,7 +62,7 @@
   readonly entries: readonly Entry[]
 }
 
-/** Messages between replicas. */
+/** Raft messages between replicas. `pre` marks messages of the pre-vote phase. */
 export type LogMessage =
   | { readonly kind: 'vote-request', readonly pre: boolean, readonly term: number, readonly replica: ReplicaId, readonly lastIndex: LogIndex, readonly lastTerm: number }
   | { readonly kind: 'vote-reply', readonly pre: boolean, readonly term: number, readonly replica: ReplicaId, readonly granted: boolean }
@@ -71,24 +71,24 @@
   | { readonly kind: 'install', readonly term: number, readonly replica: ReplicaId, readonly round: number, readonly snapshot: LogSnapshot }
   | { readonly kind: 'join', readonly replica: Replica }
 
-/** A message that leaves only after everything before it is synced. */
+/** An outgoing message; with `afterSync` it is sent only once all earlier persist requests are synced. */
 export interface LogMessageSent extends MessageSent<LogMessage> {
   readonly afterSync: boolean
 }
 
-/** Writes and syncs a record; a failed sync ends the process. */
+/** Asks for a record to be written and synced; a failed sync ends the process. */
 export interface PersistRequested { readonly kind: 'persist', readonly record: DiskRecord, readonly sequence: number }
 
-/** Everything up to this sequence is synced. */
+/** Reports that all persist requests up to and including this sequence are synced. */
 export interface Persisted { readonly kind: 'persisted', readonly sequence: number }
 
-/** An operator's command for the log. */
+/** Proposes an operator's command to the log. */
 export interface CommandProposed { readonly kind: 'propose', readonly call: CallId, readonly envelope: CommandEnvelope }
 
-/** An operator admits a replica that asked to join, in place of its host's lost one. */
+/** An operator's call to admit a replica that asked to join; it replaces the earlier replica of the same host. */
 export interface ReplicaAdmitted { readonly kind: 'admit', readonly call: CallId, readonly host: HostId }
 
-/** Why a proposal has no outcome from this replica. */
+/** Why this replica cannot report the outcome of a proposal. */
 export type ProposalError =
   | { readonly kind: 'not-leader', readonly leader: HostId | null }
   | { readonly kind: 'outcome-unknown' }
@@ -96,7 +96,7 @@
   | { readonly kind: 'no-join-request' }
   | CommandError
 
-/** The answer to an operator's call. */
+/** Answers a proposal or an admission. */
 export interface ProposalAnswered {
   readonly kind: 'proposal-answer'
   readonly call: CallId
@@ -104,45 +104,45 @@
   readonly error: ProposalError | null
 }
 
-/** A question about the newest configuration, which a quorum must vouch for. */
+/** Requests a linearizable read of the configuration (read index). */
 export interface ReadRequested { readonly kind: 'read', readonly call: CallId }
 
-/** A quorum vouches for what this host holds, or an error says why it cannot be read here. */
+/** Without an error, a quorum has confirmed that the configuration on this host is the newest; otherwise says why it cannot be read here. */
 export interface ReadAnswered {
   readonly kind: 'read-answer'
   readonly call: CallId
   readonly error: ProposalError | null
 }
 
-/** A read that waits for a round. */
+/** A read that waits until a quorum has acknowledged a round sent after it. */
 export interface ReadRow { readonly call: CallId, readonly askedAt: Millis }
 
-/** A replica outside the group that asks to join. */
+/** A replica outside the group that has requested to join. */
 export interface JoinRow extends Replica { readonly heardAt: Millis }
 
 /** A proposal that waits for its entry to be committed and applied. */
 export interface ProposalRow { readonly index: LogIndex, readonly term: number, readonly call: CallId, readonly proposedAt: Millis }
 
-/** What the leader knows about another replica. */
+/** Replication progress of another replica, kept by the leader. */
 export interface FollowerRow {
   readonly replica: ReplicaId
   nextIndex: LogIndex
   matchIndex: LogIndex
-  /** When the newest round that it answered was sent. */
+  /** Send time of the newest round that the replica has acknowledged. */
   ackedRoundSentAt: Millis
-  /** Entries are in flight up to this time; then they are sent again. */
-  busyUntil: Millis
+  /** Entries count as in flight until this time and are resent after it. */
+  inFlightUntil: Millis
 }
 
-/** A member change that is being carried out: catch up, leave, enter. */
-export interface AdmissionOfReplica {
+/** An admission in progress: the replica joins as a learner and catches up, its predecessor leaves, then it becomes a voter. */
+export interface PendingAdmission {
   readonly replica: Replica
-  /** The operator's call; null when nobody asked. */
+  /** Call of the operator to be answered; null for an automatic admission. */
   readonly call: CallId | null
   readonly startedAt: Millis
 }
 
-/** One replica's own state. */
+/** Raft state of the local replica. */
 export interface ReplicaState {
   readonly self: Replica
   role: 'follower' | 'pre-candidate' | 'candidate' | 'leader'
@@ -150,26 +150,26 @@
   votedFor: ReplicaId | null
   leader: HostId | null
   commit: LogIndex
-  /** When a leader was last heard. */
-  leaderHeardAt: Millis
+  /** When the last valid message of a leader arrived. */
+  lastLeaderContactAt: Millis
+  /** When the election timer expires. */
   electionAt: Millis
   nextHeartbeatAt: Millis
   round: number
-  /** When each unanswered round was sent. */
+  /** Send times of the latest rounds, by round number. */
   readonly roundSendTimes: Map<number, Millis>
   readonly votes: Set<ReplicaId>
-  /** Sequence of the last persist request, and of the last one that is synced. */
+  /** Sequence numbers of the last persist request and of the last one that is synced. */
   persistSequence: number
   syncedSequence: number
-  /** The last index that each unsynced persist request reaches. */
+  /** Last log index that each unsynced persist request covers, by sequence. */
   readonly unsynced: Map<number, LogIndex>
   syncedIndex: LogIndex
   group: Group
   snapshot: LogSnapshot | null
-  admission: AdmissionOfReplica | null
+  admission: PendingAdmission | null
   vouchSequence: number
-  /** When the next vouch is due. */
-  vouchAt: Millis
+  nextVouchAt: Millis
 }
 
 /** Tables of the replicated log. */
