--- a/src/beliefs/beliefSystem.spec.ts
+++ b/src/beliefs/beliefSystem.spec.ts
@@ -9,17 +9,17 @@
 import { VirtualFleet } from '../stand-ins/virtualFleet.js'
 import { placesOver } from '../stand-ins/virtualPlaces.js'
 
-// Figures that say when something was seen would only repeat the schedule of probes.
-const tell = (journal: Journal, from: Millis): string[] => {
-  const told: string[] = []
+// Formats only the changes of state: the times in the facts would merely repeat the schedule of the probes.
+const changesSince = (journal: Journal, from: Millis): string[] => {
+  const changes: string[] = []
   for (const row of journal.latest(1_000).reverse()) {
     if (row.at < from || !('from' in row.facts)) continue
-    told.push(`${row.event} ${row.subject}: ${String(row.facts.from)} -> ${String(row.facts.to)}`)
+    changes.push(`${row.event} ${row.subject}: ${String(row.facts.from)} -> ${String(row.facts.to)}`)
   }
-  return told
+  return changes
 }
 
-t.test('an entry host tells which peers and servers it lost and regained, and nothing twice', async t => {
+t.test('an entry host records lost and recovered peers and servers, each change once', async t => {
   const fleet = new VirtualFleet(1)
   const entry = new VirtualEntry(fleet, placesOver(['n'], 1, 3), new ConfigurationBuilder().profile(ordinaryTerms).service('s').snapshot())
   entry.addServer('s', 'one', 'n1', 4, 20)
@@ -29,20 +29,20 @@
   const server = entry.servers.get('one')
   if (peer === undefined || server === undefined) throw new Error('no peer or no server')
   fleet.runFor(5_000)
-  const calm = tell(journal, 0)
+  const calm = changesSince(journal, 0)
   const lostAt = fleet.now
   peer.isFrozen = true
   server.isDown = true
   fleet.runFor(12_000)
-  const lost = tell(journal, lostAt)
+  const lost = changesSince(journal, lostAt)
   const backAt = fleet.now
   peer.isFrozen = false
   server.isDown = false
   fleet.runFor(12_000)
-  t.matchSnapshot({ calm, lost, back: tell(journal, backAt) })
+  t.matchSnapshot({ calm, lost, back: changesSince(journal, backAt) })
 })
 
-t.test('a control host tells the loss and the return of its leader and of the quorum', async t => {
+t.test('a control host records the loss and return of its leader and of the quorum', async t => {
   const fleet = new VirtualFleet(1)
   const control = new VirtualControl(fleet, ['a', 'b', 'c'])
   fleet.runFor(6_000)
@@ -53,9 +53,9 @@
   const cutAt = fleet.now
   fleet.network.isCut = (from, to) => from === follower || to === follower
   fleet.runFor(8_000)
-  const cut = tell(journal, cutAt).filter(line => !line.startsWith('configuration'))
-  const joinedAt = fleet.now
+  const cut = changesSince(journal, cutAt).filter(line => !line.startsWith('configuration'))
+  const healedAt = fleet.now
   fleet.network.isCut = () => false
   fleet.runFor(8_000)
-  t.matchSnapshot({ leader, follower, cut, joined: tell(journal, joinedAt).filter(line => !line.startsWith('configuration')) })
+  t.matchSnapshot({ leader, follower, cut, joined: changesSince(journal, healedAt).filter(line => !line.startsWith('configuration')) })
 })
--- a/src/gossip/gossip.spec.ts
+++ b/src/gossip/gossip.spec.ts
@@ -22,7 +22,7 @@
 
 interface Fleet { readonly fleet: VirtualFleet, readonly control: VirtualControl, readonly entry: VirtualEntry, readonly leader: () => HostId, readonly run: (command: Command) => void }
 
-// Control hosts sit in the first zone of each region; names begin with their zone so that delays and cuts apply to them.
+// Control hosts are in the first zone of each region; host names begin with the zone, which delays and partitions are derived from.
 const start = (seed: number, terms = ordinaryTerms): Fleet => {
   const fleet = new VirtualFleet(seed)
   fleet.network.delay = delayBetween(27)
@@ -61,7 +61,7 @@
 
 const indexes = ({ entry }: Fleet): number[] => places.map(place => entry.tables(place.host).configuration.index)
 
-const ask = (fleet: Fleet, hosts: readonly string[]): Record<string, number> => {
+const sendRequests = (fleet: Fleet, hosts: readonly string[]): Record<string, number> => {
   const before = fleet.entry.outcomes.length
   for (const host of hosts) fleet.entry.send(host, { service: 'lookup', workspace: 'w' })
   fleet.fleet.runFor(2_500)
@@ -88,25 +88,25 @@
   t.ok(Math.max(...times) < 2_000, `slowest ${Math.max(...times)} ms`)
 })
 
-t.test('a key withdrawn through a control host that is cut off from the quorum stops working where it is heard', async t => {
+t.test('a key withdrawn at a control host without a quorum is rejected by all hosts that it can reach', async t => {
   const fleet = start(2)
-  t.same(ask(fleet, everyHost), { served: places.length })
-  // The zone n1 keeps its control host but loses everybody else.
+  t.same(sendRequests(fleet, everyHost), { served: places.length })
+  // Zone n1 keeps its control host but is partitioned from all other zones.
   fleet.fleet.network.isCut = (from, to) => from.startsWith('n1') !== to.startsWith('n1')
   fleet.fleet.runFor(3_000)
   fleet.control.propose(id('n1-c'), envelope('w1', { kind: 'withdraw-key', digest: keyOf('w') }))
   fleet.fleet.runFor(2_000)
-  t.matchSnapshot({ inside: ask(fleet, everyHost.slice(0, 4)), outside: ask(fleet, everyHost.slice(4)) }, 'while the zone is cut')
-  // Long enough that each side has buried the other.
+  t.matchSnapshot({ inside: sendRequests(fleet, everyHost.slice(0, 4)), outside: sendRequests(fleet, everyHost.slice(4)) }, 'while the zone is partitioned')
+  // Long enough for each side to declare the other dead.
   fleet.fleet.runFor(60_000)
   t.equal(fleet.entry.tables('n1-1').members.get(id('m1-1'))?.member.state, 'dead')
   fleet.fleet.network.isCut = () => false
   fleet.fleet.runFor(20_000)
-  t.matchSnapshot(ask(fleet, everyHost), 'after the cut has healed')
-  t.equal(fleet.control.tables(fleet.leader()).configuration.keys.get(keyOf('w'))?.state, 'withdrawn', 'the log has made it durable')
+  t.matchSnapshot(sendRequests(fleet, everyHost), 'after the partition has healed')
+  t.equal(fleet.control.tables(fleet.leader()).configuration.keys.get(keyOf('w'))?.state, 'withdrawn', 'the withdrawal is in the log')
 })
 
-t.test('a restarted host serves no keyed request before a peer has vouched for its copy', async t => {
+t.test('a restarted host serves no request with a key before its configuration is confirmed', async t => {
   const fleet = start(3)
   const before = takeSnapshot(fleet.entry.tables('n1-1').configuration)
   fleet.run({ kind: 'withdraw-key', digest: keyOf('w') })
@@ -116,40 +116,40 @@
   if (node !== undefined) node.isDown = true
   fleet.fleet.network.isCut = (from, to) => from === place.host || to === place.host
   fleet.entry.start(place, false)
-  const alone = ask(fleet, [place.host])
-  // A copy that nobody vouches for is no better than none: the key in it was withdrawn since.
+  const alone = sendRequests(fleet, [place.host])
+  // An unconfirmed configuration must not be used: its key has been withdrawn since.
   const tables = fleet.entry.tables(place.host)
   installSnapshot(tables.configuration, { ...before, index: 1 })
-  const unvouched = ask(fleet, [place.host])
+  const unvouched = sendRequests(fleet, [place.host])
   tables.configuration.index = 0
   fleet.fleet.network.isCut = () => false
   fleet.fleet.runFor(10_000)
-  t.matchSnapshot({ alone, unvouched, caughtUp: ask(fleet, [place.host]) })
+  t.matchSnapshot({ alone, unvouched, caughtUp: sendRequests(fleet, [place.host]) })
 })
 
-t.test('a zone that is cut off follows its profile: serve or refuse', async t => {
+t.test('a partitioned zone serves or refuses as its profile says', async t => {
   for (const whenCutOff of ['serve', 'refuse'] as const) {
     const fleet = start(4, { ...ordinaryTerms, whenCutOff, staleAfterMs: 5_000 })
     fleet.fleet.network.isCut = (from, to) => from.startsWith('n2') !== to.startsWith('n2')
     fleet.fleet.runFor(10_000)
-    t.matchSnapshot(ask(fleet, everyHost.filter(host => host.startsWith('n2'))), `${whenCutOff}: inside the cut zone`)
-    t.same(ask(fleet, everyHost.filter(host => host.startsWith('m'))), { served: 8 }, `${whenCutOff}: outside`)
+    t.matchSnapshot(sendRequests(fleet, everyHost.filter(host => host.startsWith('n2'))), `${whenCutOff}: inside the partitioned zone`)
+    t.same(sendRequests(fleet, everyHost.filter(host => host.startsWith('m'))), { served: 8 }, `${whenCutOff}: outside`)
   }
 })
 
-t.test('hundreds of changes that passed a host by are caught up, and no host goes back', async t => {
+t.test('a host that missed hundreds of changes catches up, and no index decreases', async t => {
   const fleet = start(5)
   const place = places[7]
   const node = fleet.fleet.nodes.get(id(place?.host ?? ''))
   if (node === undefined) throw new Error('no node')
   node.isFrozen = true
-  let lowest = 0
+  let highestIndex = 0
   for (let n = 0; n < 600; n += 1) {
     fleet.control.propose(fleet.leader(), envelope(`c${n}`, { kind: 'put-workspace', workspace: toId(`x${n}`), expectedVersion: 0, rate: 1, burst: 1, weight: 1 }))
     fleet.fleet.runFor(50)
-    const now = entryIndex(fleet, places[0]?.host ?? '')
-    if (now < lowest) t.fail(`went back from ${lowest} to ${now}`)
-    lowest = now
+    const index = entryIndex(fleet, places[0]?.host ?? '')
+    if (index < highestIndex) t.fail(`index decreased from ${highestIndex} to ${index}`)
+    highestIndex = index
   }
   node.isFrozen = false
   const before = fleet.fleet.now
@@ -159,7 +159,7 @@
 
 const entryIndex = (fleet: Fleet, host: string): number => fleet.entry.tables(host).configuration.index
 
-t.test('a frozen host is suspected, buried and back again without a restart; a dead one stays dead', async t => {
+t.test('a frozen host is suspected, declared dead and alive again without a restart; a dead one stays dead', async t => {
   const fleet = start(6)
   const stateOf = (host: string, at: string): string => fleet.entry.tables(at).members.get(id(host))?.member.state ?? 'unknown'
   const frozen = fleet.fleet.nodes.get(id('m2-1'))
@@ -179,20 +179,20 @@
   t.equal(stateOf('m2-3', 'n1-1'), 'alive')
 })
 
-t.test('a leaving server gets no new work after two seconds, and a silent one after its expiry', async t => {
+t.test('a leaving server gets no new requests after two seconds, and an unresponsive one none after its expiry', async t => {
   const fleet = start(7)
   const leaving = fleet.entry.servers.get('server-n1')
-  // In another region: a region without any server must not move all its traffic at once.
-  const silent = fleet.entry.servers.get('server-m2')
-  if (leaving === undefined || silent === undefined) throw new Error('no server')
+  // Taken from another region: a region that lost all its servers must not move all its traffic at once.
+  const unresponsive = fleet.entry.servers.get('server-m2')
+  if (leaving === undefined || unresponsive === undefined) throw new Error('no server')
   const from = fleet.fleet.now
   fleet.entry.sendEvenly('w', 'lookup', 200, from + 10, from + 8_000, (_now, n) => everyHost[n % everyHost.length] ?? '')
   fleet.fleet.runFor(1_000)
   fleet.entry.leave('server-n1')
-  silent.isDown = true
+  unresponsive.isDown = true
   const leftAt = fleet.fleet.now
   fleet.fleet.runFor(10_000)
-  t.ok(leaving.lastStartedAt - leftAt < 2_000, `last new work ${leaving.lastStartedAt - leftAt} ms after it began to leave`)
-  t.equal(fleet.entry.tables('s1-1').backends.get('lookup/server-m2')?.announcement.state, 'gone', 'hosts far away heard that it is gone')
+  t.ok(leaving.lastStartedAt - leftAt < 2_000, `last request started ${leaving.lastStartedAt - leftAt} ms after it began to leave`)
+  t.equal(fleet.entry.tables('s1-1').backends.get('lookup/server-m2')?.announcement.state, 'gone', 'hosts in other regions learn that it is gone')
   t.same(fleet.entry.outcomes.filter(row => row.kind !== 'served'), [], 'no request was lost')
 })
--- a/src/replicated-log/automaticGroup.spec.ts
+++ b/src/replicated-log/automaticGroup.spec.ts
@@ -28,13 +28,13 @@
 
 const votersAt = (control: VirtualControl, name: HostId): string[] => control.tables(name).replica.group.voters.map(row => row.host).sort()
 
-t.test('three founders grow to all control hosts before a caller needs them', async t => {
+t.test('a group of three founders grows to all control hosts', async t => {
   const { fleet, control } = start(1)
   fleet.runFor(9_000)
   t.same(votersAt(control, leaderOf(control)), NAMES)
 })
 
-t.test('two hosts lose their disks right after an acknowledgement while the others lose power: nothing acknowledged is lost', async t => {
+t.test('all hosts are killed right after an acknowledgement and two lose their disks: no acknowledged change is lost', async t => {
   for (const seed of [2, 3, 4, 5, 6]) {
     const { fleet, control } = start(seed)
     fleet.runFor(9_000)
@@ -48,26 +48,26 @@
     fleet.runFor(1_000)
     for (const name of control.hosts) control.start(name)
     fleet.runFor(12_000)
-    const present = control.hosts.filter(name => control.tables(name).configuration.evacuations.has(toId<ZoneId>('z')))
-    t.same(present, control.hosts, `seed ${seed}`)
-    t.equal(votersAt(control, leaderOf(control)).length, NAMES.length, 'and the wiped ones vote again as new replicas')
+    const withChange = control.hosts.filter(name => control.tables(name).configuration.evacuations.has(toId<ZoneId>('z')))
+    t.same(withChange, control.hosts, `seed ${seed}`)
+    t.equal(votersAt(control, leaderOf(control)).length, NAMES.length, 'the wiped hosts are voters again as new replicas')
   }
 })
 
-t.test('another host takes the place of one that is gone for good', async t => {
+t.test('a new host replaces one that stays dead', async t => {
   const { fleet, control } = start(7)
   fleet.runFor(9_000)
   control.kill(host('c5'))
-  const fresh = host('c7')
-  control.join(fresh)
+  const replacement = host('c7')
+  control.join(replacement)
   fleet.runFor(25_000)
   t.same(votersAt(control, leaderOf(control)), ['c1', 'c2', 'c3', 'c4', 'c6', 'c7'])
   control.start(host('c5'))
   fleet.runFor(25_000)
-  t.same(votersAt(control, leaderOf(control)), [...NAMES, 'c7'], 'and one that comes back after all joins again')
+  t.same(votersAt(control, leaderOf(control)), [...NAMES, 'c7'], 'the removed host joins again when it returns')
 })
 
-t.test('a read needs a quorum that vouches for it', async t => {
+t.test('a read needs the confirmation of a quorum', async t => {
   const { fleet, control } = start(8)
   fleet.runFor(9_000)
   const leader = leaderOf(control)
@@ -84,10 +84,10 @@
   }))
 })
 
-/** Time from the start of all control hosts within which a leader vouches for what it holds. */
-const VOUCHED_WITHIN_MS = 1_000
+/** Time from the start of all control hosts until a leader must have confirmed its configuration. */
+const CONFIRMATION_LIMIT_MS = 1_000
 
-t.test('after all hosts were killed a leader vouches again soon', async t => {
+t.test('after all hosts were killed, a leader confirms its configuration soon after the restart', async t => {
   for (const seed of [11, 12, 13, 14, 15, 16]) {
     const { fleet, control } = start(seed)
     fleet.runFor(9_000)
@@ -96,32 +96,33 @@
     for (const name of control.hosts) control.start(name)
     const startedAt = fleet.now
     while (!control.hosts.some(name => control.tables(name).gossip.confirmedAt !== null) && fleet.now < startedAt + 10_000) fleet.runFor(10)
-    t.ok(fleet.now - startedAt <= VOUCHED_WITHIN_MS, `seed ${seed}: after ${Math.round(fleet.now - startedAt)} ms`)
+    t.ok(fleet.now - startedAt <= CONFIRMATION_LIMIT_MS, `seed ${seed}: after ${Math.round(fleet.now - startedAt)} ms`)
   }
 })
 
-// Starts as the log of a day showed them (journal entry of trouble-1 of the utility with logs), and connections that take their time.
-const STARTS_MS = [0, 53, 242, 334, 468, 478]
-const DIAL_MS = 400
+// Guards against slow elections when hosts start one after another and their connections open late. The start times are those
+// of a recorded run (trouble-1 in the journal).
+const START_DELAYS_MS = [0, 53, 242, 334, 468, 478]
+const CONNECT_DELAY_MS = 400
 
-t.test('hosts that start one after another, and reach each other only a while later, have a leader as soon', async t => {
+t.test('hosts that start one after another and connect late have a leader just as soon', async t => {
   for (const seed of [21, 22, 23, 24, 25, 26, 27, 28]) {
     const { fleet, control } = start(seed)
     fleet.runFor(9_000)
     for (const name of control.hosts) control.kill(name)
     fleet.runFor(1_000)
-    const startOf = new Map(control.hosts.map((name, place) => [name, fleet.now + (STARTS_MS[place] ?? 0)]))
-    const upAt = (name: HostId): number => (startOf.get(name) ?? 0) + DIAL_MS
-    fleet.network.isCut = (from, to) => fleet.now < Math.max(upAt(from), upAt(to))
-    for (const [name, at] of startOf) fleet.schedule(at - fleet.now, () => { control.start(name) })
-    const lastAt = Math.max(...startOf.values()) + DIAL_MS
+    const startTimes = new Map(control.hosts.map((name, position) => [name, fleet.now + (START_DELAYS_MS[position] ?? 0)]))
+    const connectedAt = (name: HostId): number => (startTimes.get(name) ?? 0) + CONNECT_DELAY_MS
+    fleet.network.isCut = (from, to) => fleet.now < Math.max(connectedAt(from), connectedAt(to))
+    for (const [name, at] of startTimes) fleet.schedule(at - fleet.now, () => { control.start(name) })
+    const lastAt = Math.max(...startTimes.values()) + CONNECT_DELAY_MS
     fleet.runUntil(lastAt)
     while (!control.hosts.some(name => control.tables(name).gossip.confirmedAt !== null) && fleet.now < lastAt + 10_000) fleet.runFor(10)
-    t.ok(fleet.now - lastAt <= VOUCHED_WITHIN_MS, `seed ${seed}: ${Math.round(fleet.now - lastAt)} ms after all reach each other`)
+    t.ok(fleet.now - lastAt <= CONFIRMATION_LIMIT_MS, `seed ${seed}: ${Math.round(fleet.now - lastAt)} ms after all hosts are connected`)
   }
 })
 
-t.test('a host that starts again beside a working leader does not depose it', async t => {
+t.test('a host that restarts does not depose a working leader', async t => {
   const { fleet, control } = start(17)
   fleet.runFor(9_000)
   const leader = leaderOf(control)
--- a/src/replicated-log/diskStore.spec.ts
+++ b/src/replicated-log/diskStore.spec.ts
@@ -32,21 +32,21 @@
 
 const describe = (image: DiskImage): string => `term ${image.term}, vote ${image.votedFor ?? 'none'}, snapshot ${image.snapshot?.index ?? 'none'}, entries ${image.entries.map(row => `${row.index}@${row.term}`).join(' ')}`
 
-t.test('what was written is there again, and a later entry replaces what it conflicts with', async t => {
+t.test('written records are read back, and a later entry replaces a conflicting one', async t => {
   const folder = makeFolder(t)
   await write(folder, [{ kind: 'vote', term: 1, votedFor: replica }, { kind: 'entries', entries: [entry(2), entry(3)] }])
   await write(folder, [{ kind: 'entries', entries: [entry(3, 2)] }, { kind: 'vote', term: 2, votedFor: null }])
   t.matchSnapshot(describe(open(folder).image))
 })
 
-t.test('a snapshot takes the place of the log and keeps the vote', async t => {
+t.test('a snapshot replaces the log and keeps the vote', async t => {
   const folder = makeFolder(t)
   const snapshot = { index: 3, term: 1, group: { voters: [], learners: [] }, configuration: takeSnapshot(createConfiguration()) }
   await write(folder, [{ kind: 'vote', term: 4, votedFor: replica }, { kind: 'entries', entries: [entry(2), entry(3), entry(4)] }, { kind: 'snapshot', snapshot, kept: [entry(2), entry(3), entry(4)] }, { kind: 'entries', entries: [entry(5)] }])
   t.matchSnapshot(describe(open(folder).image))
 })
 
-t.test('a file that ends at any byte gives back every whole frame and goes on from there', async t => {
+t.test('a file truncated at any byte yields all complete frames and accepts new records', async t => {
   const folder = makeFolder(t)
   const path = join(folder, 'log')
   const first = readFileSync(path).length
@@ -61,12 +61,12 @@
     store.close()
     if (image.entries.length !== expected) t.fail(`cut at byte ${size}: ${image.entries.length} entries`)
     await write(folder, [{ kind: 'entries', entries: [entry(expected + 1, 9)] }])
-    if (open(folder).image.entries.at(-1)?.term !== 9) t.fail(`cut at byte ${size}: does not go on`)
+    if (open(folder).image.entries.at(-1)?.term !== 9) t.fail(`cut at byte ${size}: new records are not read back`)
   }
   t.pass('every cut')
 })
 
-t.test('a torn last frame is cut, damage before it is an error', async t => {
+t.test('a torn last frame is truncated, damage before it is an error', async t => {
   const folder = makeFolder(t)
   const path = join(folder, 'log')
   await write(folder, [{ kind: 'entries', entries: [entry(2)] }])
@@ -86,7 +86,7 @@
   t.same(open(folder).image.entries, [])
 })
 
-t.test('a folder is founded once', async t => {
+t.test('a replica is created only once in a folder', async t => {
   const folder = makeFolder(t)
   t.matchSnapshot(createReplica(folder, foundingImage(replica, { voters: [], learners: [] })))
   t.equal(DiskStore.open(join(folder, 'absent')).tag, 'error')
--- a/src/replicated-log/exhaustiveSearch.spec.ts
+++ b/src/replicated-log/exhaustiveSearch.spec.ts
@@ -12,26 +12,26 @@
 import { createLogTables, foundingImage } from './replicaTables.js'
 import type { LogMessage, Replica, ReplicaId } from './types.js'
 
-// Every order of a few steps of three replicas: elections that come due, messages that are delivered or lost,
-// one proposal a leader. States are rebuilt by replaying their steps, so that no state needs to be copied.
+// Explores every order of a few steps of three replicas: expired election timers, delivered or lost messages and up to two
+// proposals. States are rebuilt by replaying their steps, so that no state needs to be copied.
 
 const REPLICAS: readonly Replica[] = ['a', 'b', 'c'].map(name => ({ replica: toId<ReplicaId>(name), host: toId<HostId>(name), link: { address: name, port: 1 } }))
-const ELECTION_DUE = 10_000
+const ELECTION_DELAY_MS = 10_000
 const DEPTH = Number(process.env.RHUBARBSEAM_DEPTH ?? 6)
 
-interface Flight { readonly from: HostId, readonly to: HostId, readonly message: LogMessage }
-type Step = { readonly kind: 'due', readonly replica: number } | { readonly kind: 'deliver', readonly flight: number } | { readonly kind: 'propose', readonly replica: number }
+interface InFlightMessage { readonly from: HostId, readonly to: HostId, readonly message: LogMessage }
+type Step = { readonly kind: 'due', readonly replica: number } | { readonly kind: 'deliver', readonly position: number } | { readonly kind: 'propose', readonly replica: number }
 
-interface State { readonly worlds: ReadonlyArray<World<ReplicaTables, LogInput, LogOutput>>, flights: Flight[], now: number, proposals: number }
+interface State { readonly worlds: ReadonlyArray<World<ReplicaTables, LogInput, LogOutput>>, messages: InFlightMessage[], now: number, proposals: number }
 
 const createState = (): State => ({
   worlds: REPLICAS.map((self, number) => {
     const systems = [new ElectionSystem(), new ReplicationReceiveSystem(), new ReplicationSendSystem()] as Array<System<ReplicaTables, LogInput, LogOutput>>
     const tables = { ...createLogTables(self, foundingImage(self.replica, { voters: REPLICAS, learners: [] }), 0, Number.POSITIVE_INFINITY), configuration: createConfiguration() }
-    tables.replica.lastLeaderContactAt = -ELECTION_DUE
+    tables.replica.lastLeaderContactAt = -ELECTION_DELAY_MS
     return { tables, systems, random: new SeededRandom(number) }
   }),
-  flights: [],
+  messages: [],
   now: 0,
   proposals: 0
 })
@@ -41,7 +41,7 @@
   if (world === undefined) return
   const synced: LogInput[] = []
   for (const row of runTick(world, state.now, inbox)) {
-    if (row.kind === 'send') state.flights.push({ from: world.tables.replica.self.host, to: row.to, message: row.message })
+    if (row.kind === 'send') state.messages.push({ from: world.tables.replica.self.host, to: row.to, message: row.message })
     else if (row.kind === 'persist') synced.push({ kind: 'persisted', sequence: row.sequence })
   }
   world.tables.replica.electionAt = Number.POSITIVE_INFINITY
@@ -49,18 +49,18 @@
   if (synced.length > 0) runTick(world, state.now, synced)
 }
 
-const perform = (state: State, step: Step): void => {
+const applyStep = (state: State, step: Step): void => {
   if (step.kind === 'due') {
-    // Long after the last word of any leader.
-    state.now += ELECTION_DUE
+    // Moves past the election timeout since the last contact with any leader.
+    state.now += ELECTION_DELAY_MS
     const tables = state.worlds[step.replica]?.tables
     if (tables !== undefined) tables.replica.electionAt = state.now
     tickReplica(state, step.replica, [])
   } else if (step.kind === 'deliver') {
-    const [flight] = state.flights.splice(step.flight, 1)
-    if (flight === undefined) return
-    const number = REPLICAS.findIndex(row => row.host === flight.to)
-    tickReplica(state, number, [{ kind: 'message', from: flight.from, message: flight.message }])
+    const [delivered] = state.messages.splice(step.position, 1)
+    if (delivered === undefined) return
+    const number = REPLICAS.findIndex(row => row.host === delivered.to)
+    tickReplica(state, number, [{ kind: 'message', from: delivered.from, message: delivered.message }])
   } else {
     const world = state.worlds[step.replica]
     if (world === undefined) return
@@ -73,89 +73,89 @@
 
 const replay = (steps: readonly Step[]): State => {
   const state = createState()
-  for (const step of steps) perform(state, step)
+  for (const step of steps) applyStep(state, step)
   return state
 }
 
-const choices = (state: State): Step[] => {
+const possibleSteps = (state: State): Step[] => {
   const steps: Step[] = []
   for (const [number, world] of state.worlds.entries()) {
     if (world.tables.replica.role !== 'leader') steps.push({ kind: 'due', replica: number })
     else if (state.proposals < 2) steps.push({ kind: 'propose', replica: number })
   }
-  for (const [number] of state.flights.entries()) steps.push({ kind: 'deliver', flight: number })
+  for (const [position] of state.messages.entries()) steps.push({ kind: 'deliver', position })
   return steps
 }
 
 const fingerprint = (state: State): string => JSON.stringify([
   state.worlds.map(({ tables }) => [tables.replica.role, tables.replica.term, tables.replica.votedFor, [...tables.replica.votes], tables.log.rows(), tables.replica.commit, [...tables.followers.rows()].map(row => [row.nextIndex, row.matchIndex])]),
-  state.flights.map(flight => JSON.stringify([flight.from, flight.to, flight.message])).sort()
+  state.messages.map(row => JSON.stringify([row.from, row.to, row.message])).sort()
 ])
 
-// Entries that a quorum holds in the term of a leader are committed whatever comes; a later leader must hold them too.
-const committedBy = (state: State): Array<{ index: number, term: number, text: string }> => {
+// Returns the entries that a quorum holds in the term of a leader. They are committed, so every later leader must hold them.
+const committedEntries = (state: State): Array<{ index: number, term: number, text: string }> => {
   const committed: Array<{ index: number, term: number, text: string }> = []
   for (const { tables } of state.worlds) {
     if (tables.replica.role !== 'leader') continue
     const matches = [tables.replica.syncedIndex, ...[...tables.followers.rows()].map(row => row.matchIndex)].sort((a, b) => b - a)
-    const agreed = matches[quorumSize(tables) - 1] ?? 0
-    if (tables.log.termAt(agreed) !== tables.replica.term) continue
+    const quorumIndex = matches[quorumSize(tables) - 1] ?? 0
+    if (tables.log.termAt(quorumIndex) !== tables.replica.term) continue
     for (const entry of tables.log.rows()) {
-      if (entry.index <= agreed) committed.push({ index: entry.index, term: tables.replica.term, text: JSON.stringify(entry) })
+      if (entry.index <= quorumIndex) committed.push({ index: entry.index, term: tables.replica.term, text: JSON.stringify(entry) })
     }
   }
   return committed
 }
 
-const problemsOf = (state: State, committed: ReadonlyArray<{ index: number, term: number, text: string }>): string[] => {
-  const problems: string[] = []
+const findViolations = (state: State, committed: ReadonlyArray<{ index: number, term: number, text: string }>): string[] => {
+  const violations: string[] = []
   const leaders = state.worlds.filter(world => world.tables.replica.role === 'leader')
-  if (new Set(leaders.map(world => world.tables.replica.term)).size < leaders.length) problems.push('two leaders in one term')
+  if (new Set(leaders.map(world => world.tables.replica.term)).size < leaders.length) violations.push('two leaders in one term')
   for (const { tables } of leaders) {
     for (const entry of committed) {
-      if (tables.replica.term > entry.term && JSON.stringify(tables.log.get(entry.index)) !== entry.text) problems.push(`a leader of term ${tables.replica.term} lacks entry ${entry.index}`)
+      if (tables.replica.term > entry.term && JSON.stringify(tables.log.get(entry.index)) !== entry.text) violations.push(`the leader of term ${tables.replica.term} lacks committed entry ${entry.index}`)
     }
   }
-  return problems
+  return violations
 }
 
-const search = (prefix: readonly Step[], depth: number): { states: number, problems: string[] } => {
+const search = (prefix: readonly Step[], depth: number): { states: number, violations: string[] } => {
   const seen = new Map<string, number>()
-  const problems: string[] = []
+  const violations: string[] = []
   let states = 0
   const visit = (steps: readonly Step[], left: number, committed: ReadonlyArray<{ index: number, term: number, text: string }>): void => {
-    if (problems.length > 0) return
+    if (violations.length > 0) return
     const state = replay([...prefix, ...steps])
     states += 1
-    const known = [...committed, ...committedBy(state)]
-    problems.push(...problemsOf(state, known))
+    const known = [...committed, ...committedEntries(state)]
+    violations.push(...findViolations(state, known))
     const key = `${fingerprint(state)} ${JSON.stringify(known)}`
     if (left === 0 || (seen.get(key) ?? -1) >= left) return
     seen.set(key, left)
-    for (const step of choices(state)) visit([...steps, step], left - 1, known)
+    for (const step of possibleSteps(state)) visit([...steps, step], left - 1, known)
   }
   visit([], depth, [])
-  return { states, problems }
+  return { states, violations }
 }
 
 const electA: readonly Step[] = [
   { kind: 'due', replica: 0 }, // pre-vote requests to b and c
-  { kind: 'deliver', flight: 0 }, // b grants
-  { kind: 'deliver', flight: 1 }, // a campaigns
-  { kind: 'deliver', flight: 1 }, // b votes
-  { kind: 'deliver', flight: 2 } // a leads
+  { kind: 'deliver', position: 0 }, // b grants
+  { kind: 'deliver', position: 1 }, // a becomes a candidate
+  { kind: 'deliver', position: 1 }, // b grants its vote
+  { kind: 'deliver', position: 2 } // a becomes leader
 ]
 
 t.test(`every order of ${DEPTH} steps from the start`, async t => {
-  const { states, problems } = search([], DEPTH)
-  t.same(problems, [])
+  const { states, violations } = search([], DEPTH)
+  t.same(violations, [])
   t.ok(states > 1_000, `${states} states`)
 })
 
 t.test(`every order of ${DEPTH - 1} steps after an election`, async t => {
   const elected = replay(electA)
-  t.equal(elected.worlds[0]?.tables.replica.role, 'leader', 'the prefix elects a')
-  const { states, problems } = search(electA, DEPTH - 1)
-  t.same(problems, [])
+  t.equal(elected.worlds[0]?.tables.replica.role, 'leader', 'the steps elect a')
+  const { states, violations } = search(electA, DEPTH - 1)
+  t.same(violations, [])
   t.ok(states > 500, `${states} states`)
 })
--- a/src/replicated-log/logProtocol.spec.ts
+++ b/src/replicated-log/logProtocol.spec.ts
@@ -26,7 +26,7 @@
 
 const host = (name: string): HostId => toId<HostId>(name)
 
-const onlyLeader = (control: VirtualControl): HostId => {
+const newestLeader = (control: VirtualControl): HostId => {
   const leaders = control.leaders().map(name => ({ name, term: control.tables(name).replica.term })).sort((a, b) => b.term - a.term)
   const first = leaders[0]
   if (first === undefined) throw new Error('no leader')
@@ -41,32 +41,32 @@
   workspaces: control.hosts.map(name => [...control.tables(name).configuration.workspaces.rows()].map(row => `${row.workspace}@${row.version}`))
 })
 
-/** Watches what must always hold, at every moment of a run. */
-class Watch {
+/** Checks the invariants of the protocol throughout a run. */
+class InvariantChecker {
   readonly #leaderOfTerm = new Map<number, HostId>()
   readonly #committed = new Map<number, string>()
   readonly #indexes = new Map<HostId, { node: unknown, index: number }>()
-  readonly problems: string[] = []
+  readonly violations: string[] = []
 
-  look (control: VirtualControl, fleet: VirtualFleet): void {
+  check (control: VirtualControl, fleet: VirtualFleet): void {
     for (const name of control.hosts) {
       const node = fleet.nodes.get(name)
       if (node === undefined || node.isDown) continue
       const { replica, log, configuration } = control.tables(name)
       if (replica.role === 'leader') {
         const other = this.#leaderOfTerm.get(replica.term)
-        if (other !== undefined && other !== name) this.problems.push(`two leaders in term ${replica.term}`)
+        if (other !== undefined && other !== name) this.violations.push(`two leaders in term ${replica.term}`)
         this.#leaderOfTerm.set(replica.term, name)
       }
       for (const entry of log.rows()) {
         if (entry.index > replica.commit) break
         const text = JSON.stringify(entry)
         const known = this.#committed.get(entry.index)
-        if (known !== undefined && known !== text) this.problems.push(`committed entry ${entry.index} changed`)
+        if (known !== undefined && known !== text) this.violations.push(`committed entry ${entry.index} changed`)
         this.#committed.set(entry.index, text)
       }
       const before = this.#indexes.get(name)
-      if (before?.node === node && configuration.index < before.index) this.problems.push(`${name} went back from ${before.index} to ${configuration.index}`)
+      if (before?.node === node && configuration.index < before.index) this.violations.push(`${name}: applied index went back from ${before.index} to ${configuration.index}`)
       this.#indexes.set(name, { node, index: configuration.index })
     }
   }
@@ -75,15 +75,15 @@
 t.test('a leader is elected and a command commits on all replicas', async t => {
   const { fleet, control } = start(1)
   fleet.runFor(4_000)
-  const call = control.propose(onlyLeader(control), putWorkspace('ann', 'r1', 'w', 0))
+  const call = control.propose(newestLeader(control), putWorkspace('ann', 'r1', 'w', 0))
   fleet.runFor(1_000)
   t.matchSnapshot(describe(control, [call]))
 })
 
-t.test('operators race with equal numbers and one resends after a lost answer', async t => {
+t.test('operators race with equal versions and one repeats its request after a lost answer', async t => {
   const { fleet, control } = start(2)
   fleet.runFor(4_000)
-  const leader = onlyLeader(control)
+  const leader = newestLeader(control)
   const calls = [
     control.propose(leader, putWorkspace('ann', 'r1', 'w', 0)),
     control.propose(leader, putWorkspace('bob', 'r1', 'w', 0)),
@@ -91,53 +91,53 @@
     control.propose(leader, putWorkspace('ann', 'r1', 'w', 1))
   ]
   fleet.runFor(1_000)
-  t.matchSnapshot(describe(control, calls), 'one yes; the resend gets the first outcome; the id with another command is an error')
+  t.matchSnapshot(describe(control, calls), 'one succeeds; the repeated request gets the first outcome; its id with another command is an error')
 })
 
-t.test('the leader is killed in mid-commit', async t => {
+t.test('the leader is killed during a commit', async t => {
   const { fleet, control } = start(3)
   fleet.runFor(4_000)
-  const leader = onlyLeader(control)
+  const leader = newestLeader(control)
   const first = control.propose(leader, putWorkspace('ann', 'r1', 'w', 0))
   fleet.runFor(4)
   control.kill(leader)
   fleet.runFor(6_000)
-  const next = onlyLeader(control)
+  const next = newestLeader(control)
   const again = control.propose(next, putWorkspace('ann', 'r1', 'w', 0))
   fleet.runFor(1_000)
   control.start(leader)
   fleet.runFor(3_000)
   t.not(next, leader)
-  t.matchSnapshot(describe(control, [first, again]), 'the resend is applied once on every replica')
+  t.matchSnapshot(describe(control, [first, again]), 'the repeated command is applied once on every replica')
 })
 
-t.test('every host is killed at every step of a commit on slow disks: what was accepted is there', async t => {
+t.test('all hosts are killed at each millisecond of a commit on slow disks: an accepted change is kept', async t => {
   const missing: string[] = []
   for (let killAt = 0; killAt <= 80; killAt += 1) {
     const { fleet, control } = start(100)
     control.syncMs = 25
     fleet.runFor(4_000)
-    const leader = onlyLeader(control)
+    const leader = newestLeader(control)
     const call = control.propose(leader, putWorkspace('ann', 'r1', 'w', 0))
     fleet.runFor(killAt)
     const isAccepted = control.answers.get(call)?.receipt?.version === 1
     for (const name of control.hosts) control.kill(name)
     for (const name of control.hosts) control.start(name)
     fleet.runFor(6_000)
-    const again = control.propose(onlyLeader(control), putWorkspace('ann', 'r1', 'w', 0))
+    const again = control.propose(newestLeader(control), putWorkspace('ann', 'r1', 'w', 0))
     fleet.runFor(1_000)
-    const workspaces = control.tables(onlyLeader(control)).configuration.workspaces
-    if (workspaces.get(toId<WorkspaceId>('w'))?.version !== 1) missing.push(`killed after ${killAt} ms: not there`)
+    const workspaces = control.tables(newestLeader(control)).configuration.workspaces
+    if (workspaces.get(toId<WorkspaceId>('w'))?.version !== 1) missing.push(`killed after ${killAt} ms: change is missing`)
     const first = control.answers.get(call)?.receipt?.index
-    if (isAccepted && control.answers.get(again)?.receipt?.index !== first) missing.push(`killed after ${killAt} ms: accepted, then applied again`)
+    if (isAccepted && control.answers.get(again)?.receipt?.index !== first) missing.push(`killed after ${killAt} ms: accepted change was applied again`)
   }
   t.same(missing, [])
 })
 
-t.test('a replica that was silently cut off for long returns without disturbing the leader', async t => {
+t.test('a replica that returns from a long partition does not disturb the leader', async t => {
   const { fleet, control } = start(4)
   fleet.runFor(4_000)
-  const leader = onlyLeader(control)
+  const leader = newestLeader(control)
   const cut = control.hosts.find(name => name !== leader) ?? leader
   fleet.network.isCut = (from, to) => from === cut || to === cut
   const calls: CallId[] = []
@@ -151,20 +151,20 @@
   fleet.network.isCut = () => false
   fleet.runFor(5_000)
   t.same(control.leaders(), [leader])
-  t.equal(control.tables(leader).replica.term, termBefore, 'the term did not move')
+  t.equal(control.tables(leader).replica.term, termBefore, 'the term is unchanged')
   t.equal(control.answers.get(staleCall)?.error?.kind, 'not-leader')
   t.equal(control.tables(cut).configuration.workspaces.size, 300, 'it has caught up')
 })
 
-t.test('a leader that was frozen and wakes does not accept', async t => {
+t.test('a leader that resumes after a freeze accepts no proposals', async t => {
   const { fleet, control } = start(5)
   fleet.runFor(4_000)
-  const frozen = onlyLeader(control)
+  const frozen = newestLeader(control)
   const node = fleet.nodes.get(frozen)
   if (node === undefined) throw new Error('no node')
   node.isFrozen = true
   fleet.runFor(6_000)
-  const next = onlyLeader(control)
+  const next = newestLeader(control)
   const stale = control.propose(frozen, putWorkspace('ann', 'r1', 'w', 0))
   const good = control.propose(next === frozen ? host('c1') : next, putWorkspace('bob', 'r1', 'w', 0))
   node.isFrozen = false
@@ -172,10 +172,10 @@
   t.matchSnapshot(describe(control, [stale, good]))
 })
 
-t.test('a lost disk comes back as a new replica; then a second host is lost', async t => {
+t.test('a host with a lost disk returns as a new replica, then a second host fails', async t => {
   const { fleet, control } = start(6)
   fleet.runFor(4_000)
-  const leader = onlyLeader(control)
+  const leader = newestLeader(control)
   const lost = control.hosts.find(name => name !== leader) ?? leader
   const call = control.propose(leader, putWorkspace('ann', 'r1', 'w', 0))
   fleet.runFor(500)
@@ -184,27 +184,27 @@
   control.start(lost)
   fleet.runFor(4_000)
   const voterBefore = control.tables(leader).replica.group.voters.find(row => row.host === lost)?.replica
-  t.equal(voterBefore, `${lost}#0`, 'nobody has admitted it yet')
-  t.equal(control.tables(lost).log.lastIndex, 0, 'it holds nothing and votes for nobody')
+  t.equal(voterBefore, `${lost}#0`, 'it is not admitted yet')
+  t.equal(control.tables(lost).log.lastIndex, 0, 'its log is empty')
   const admitted = control.admit(leader, lost)
   fleet.runFor(4_000)
   t.same(control.tables(leader).replica.group.voters.map(row => row.host).sort(), [...control.hosts].sort())
   control.kill(leader)
   fleet.runFor(6_000)
-  const next = onlyLeader(control)
+  const next = newestLeader(control)
   const after = control.propose(next, putWorkspace('bob', 'r2', 'w', 1))
   fleet.runFor(1_000)
-  t.equal(control.answers.get(after)?.receipt?.version, 2, 'the change that was accepted before the repair is still there')
+  t.equal(control.answers.get(after)?.receipt?.version, 2, 'the change that was accepted before the repair is kept')
   t.matchSnapshot(describe(control, [call, admitted, after]))
 })
 
-t.test('an empty disk never helps to elect a leader that lacks accepted changes', async t => {
+t.test('a replica with an empty disk does not elect a leader that lacks accepted changes', async t => {
   const { fleet, control } = start(7)
   fleet.runFor(4_000)
-  const leader = onlyLeader(control)
+  const leader = newestLeader(control)
   const [second, third] = control.hosts.filter(name => name !== leader)
   if (second === undefined || third === undefined) throw new Error('three hosts')
-  // The third misses the change; the other two accept it.
+  // The third replica misses the change that the other two accept.
   fleet.network.isCut = (from, to) => from === third || to === third
   const call = control.propose(leader, putWorkspace('ann', 'r1', 'w', 0))
   fleet.runFor(500)
@@ -215,16 +215,16 @@
   control.start(second)
   fleet.network.isCut = () => false
   fleet.runFor(20_000)
-  t.same(control.leaders(), [], 'the stale third and the empty second elect nobody')
+  t.same(control.leaders(), [], 'the stale third and the empty second replica elect no leader')
   control.start(leader)
   fleet.runFor(6_000)
-  t.equal(control.tables(onlyLeader(control)).configuration.workspaces.size, 1)
+  t.equal(control.tables(newestLeader(control)).configuration.workspaces.size, 1)
 })
 
-t.test('hundreds of missed changes are caught up by a snapshot', async t => {
+t.test('a replica that missed hundreds of changes catches up by a snapshot', async t => {
   const { fleet, control } = start(8)
   fleet.runFor(4_000)
-  const leader = onlyLeader(control)
+  const leader = newestLeader(control)
   const down = control.hosts.find(name => name !== leader) ?? leader
   control.kill(down)
   for (let n = 0; n < 1_400; n += 1) {
@@ -250,7 +250,7 @@
   const { fleet, control } = start(seed)
   control.syncMs = syncMs
   Object.assign(fleet.network, network)
-  const watch = new Watch()
+  const checker = new InvariantChecker()
   const versions = new Map<string, number>()
   const accepted: CallId[] = []
   const pendingCalls = new Map<CallId, string>()
@@ -259,7 +259,7 @@
   const advance = (duration: number): void => {
     for (let left = duration; left > 0; left -= 10) {
       fleet.runFor(Math.min(10, left))
-      watch.look(control, fleet)
+      checker.check(control, fleet)
     }
   }
   let count = 0
@@ -291,33 +291,33 @@
   }
   advance(8_000)
   const leader = control.leaders()[0]
-  if (leader === undefined || control.leaders().length !== 1) return [...watch.problems, `${control.leaders().length} leaders after the repair`]
+  if (leader === undefined || control.leaders().length !== 1) return [...checker.violations, `${control.leaders().length} leaders after the repair`]
   const final = control.propose(leader, putWorkspace('last', 'last', 'final', 0))
   advance(1_500)
-  if (control.answers.get(final)?.receipt === null) watch.problems.push('nothing commits after the repair')
+  if (control.answers.get(final)?.receipt === null) checker.violations.push('no command commits after the repair')
   for (const [call, workspace] of pendingCalls) {
     const receipt = control.answers.get(call)?.receipt
     if (receipt === undefined || receipt === null) continue
     accepted.push(call)
     const key = `${workspace}@${receipt.version}`
-    if (versions.has(key)) watch.problems.push(`two operators were told yes for ${key}`)
+    if (versions.has(key)) checker.violations.push(`two operators received success for ${key}`)
     versions.set(key, receipt.index)
     for (const name of control.hosts) {
       const version = control.tables(name).configuration.workspaces.get(toId<WorkspaceId>(workspace))?.version ?? 0
-      if (version < receipt.version) watch.problems.push(`${name} lost the accepted ${key}`)
+      if (version < receipt.version) checker.violations.push(`${name} lost accepted change ${key}`)
     }
   }
-  return watch.problems
+  return checker.violations
 }
 
-t.test('random kills, cuts, freezes, losses and races break no invariant', async t => {
+t.test('random kills, partitions, freezes, message loss and races violate no invariant', async t => {
   const property = fc.property(fc.nat(1_000_000), steps, fc.constantFrom(
     { loss: 0, doubled: 0, jitter: 0 },
     { loss: 0.1, doubled: 0.1, jitter: 40 },
     { loss: 0.3, doubled: 0.2, jitter: 200 }
   ), fc.constantFrom(2, 30), (seed, plan, network, syncMs) => {
-    const problems = runSteps(seed, plan, network, syncMs)
-    if (problems.length > 0) throw new Error(problems.join('; '))
+    const violations = runSteps(seed, plan, network, syncMs)
+    if (violations.length > 0) throw new Error(violations.join('; '))
   })
   const runs = Number(process.env.RHUBARBSEAM_RUNS ?? 60)
   const seed = Number(process.env.RHUBARBSEAM_SEED ?? 20261204)
