--- a/src/gossip/gossip.spec.ts
+++ b/src/gossip/gossip.spec.ts
@@ -127,7 +127,7 @@
   t.matchSnapshot({ alone, unvouched, caughtUp: sendRequests(fleet, [place.host]) })
 })
 
-t.test('a partitioned zone serves or refuses as its profile says', async t => {
+t.test('a zone that is partitioned off serves or refuses as its profile says', async t => {
   for (const whenCutOff of ['serve', 'refuse'] as const) {
     const fleet = start(4, { ...ordinaryTerms, whenCutOff, staleAfterMs: 5_000 })
     fleet.fleet.network.isCut = (from, to) => from.startsWith('n2') !== to.startsWith('n2')
--- a/src/replicated-log/exhaustiveSearch.spec.ts
+++ b/src/replicated-log/exhaustiveSearch.spec.ts
@@ -83,7 +83,7 @@
     if (world.tables.replica.role !== 'leader') steps.push({ kind: 'due', replica: number })
     else if (state.proposals < 2) steps.push({ kind: 'propose', replica: number })
   }
-  for (const [position] of state.messages.entries()) steps.push({ kind: 'deliver', position })
+  for (const [number] of state.messages.entries()) steps.push({ kind: 'deliver', position: number })
   return steps
 }
 
--- a/tap-snapshots/src/beliefs/beliefSystem.spec.ts.test.cjs
+++ b/tap-snapshots/src/beliefs/beliefSystem.spec.ts.test.cjs
@@ -5,7 +5,7 @@
  * Make sure to inspect the output below.  Do not ignore changes!
  */
 'use strict'
-exports[`src/beliefs/beliefSystem.spec.ts > TAP > a control host tells the loss and the return of its leader and of the quorum > must match snapshot 1`] = `
+exports[`src/beliefs/beliefSystem.spec.ts > TAP > a control host records the loss and return of its leader and of the quorum > must match snapshot 1`] = `
 Object {
   "cut": Array [
     "peer c: alive -> suspect",
@@ -26,7 +26,7 @@
 }
 `
 
-exports[`src/beliefs/beliefSystem.spec.ts > TAP > an entry host tells which peers and servers it lost and regained, and nothing twice > must match snapshot 1`] = `
+exports[`src/beliefs/beliefSystem.spec.ts > TAP > an entry host records lost and recovered peers and servers, each change once > must match snapshot 1`] = `
 Object {
   "back": Array [
     "peer n1-2: dead -> alive",
--- a/tap-snapshots/src/gossip/gossip.spec.ts.test.cjs
+++ b/tap-snapshots/src/gossip/gossip.spec.ts.test.cjs
@@ -5,7 +5,7 @@
  * Make sure to inspect the output below.  Do not ignore changes!
  */
 'use strict'
-exports[`src/gossip/gossip.spec.ts > TAP > a frozen host is suspected, buried and back again without a restart; a dead one stays dead > must match snapshot 1`] = `
+exports[`src/gossip/gossip.spec.ts > TAP > a frozen host is suspected, declared dead and alive again without a restart; a dead one stays dead > must match snapshot 1`] = `
 Object {
   "dead": Array [
     "dead",
@@ -18,13 +18,13 @@
 }
 `
 
-exports[`src/gossip/gossip.spec.ts > TAP > a key withdrawn through a control host that is cut off from the quorum stops working where it is heard > after the cut has healed 1`] = `
+exports[`src/gossip/gossip.spec.ts > TAP > a key withdrawn at a control host without a quorum is rejected by all hosts that it can reach > after the partition has healed 1`] = `
 Object {
   "key-withdrawn (not-run)": 24,
 }
 `
 
-exports[`src/gossip/gossip.spec.ts > TAP > a key withdrawn through a control host that is cut off from the quorum stops working where it is heard > while the zone is cut 1`] = `
+exports[`src/gossip/gossip.spec.ts > TAP > a key withdrawn at a control host without a quorum is rejected by all hosts that it can reach > while the zone is partitioned 1`] = `
 Object {
   "inside": Object {
     "key-withdrawn (not-run)": 4,
@@ -35,7 +35,7 @@
 }
 `
 
-exports[`src/gossip/gossip.spec.ts > TAP > a restarted host serves no keyed request before a peer has vouched for its copy > must match snapshot 1`] = `
+exports[`src/gossip/gossip.spec.ts > TAP > a restarted host serves no request with a key before its configuration is confirmed > must match snapshot 1`] = `
 Object {
   "alone": Object {
     "configuration-not-loaded (not-run)": 1,
@@ -49,13 +49,13 @@
 }
 `
 
-exports[`src/gossip/gossip.spec.ts > TAP > a zone that is cut off follows its profile: serve or refuse > refuse: inside the cut zone 1`] = `
+exports[`src/gossip/gossip.spec.ts > TAP > a zone that is partitioned off serves or refuses as its profile says > refuse: inside the partitioned zone 1`] = `
 Object {
   "configuration-stale (not-run)": 4,
 }
 `
 
-exports[`src/gossip/gossip.spec.ts > TAP > a zone that is cut off follows its profile: serve or refuse > serve: inside the cut zone 1`] = `
+exports[`src/gossip/gossip.spec.ts > TAP > a zone that is partitioned off serves or refuses as its profile says > serve: inside the partitioned zone 1`] = `
 Object {
   "served": 4,
 }
--- a/tap-snapshots/src/replicated-log/automaticGroup.spec.ts.test.cjs
+++ b/tap-snapshots/src/replicated-log/automaticGroup.spec.ts.test.cjs
@@ -5,7 +5,7 @@
  * Make sure to inspect the output below.  Do not ignore changes!
  */
 'use strict'
-exports[`src/replicated-log/automaticGroup.spec.ts > TAP > a read needs a quorum that vouches for it > must match snapshot 1`] = `
+exports[`src/replicated-log/automaticGroup.spec.ts > TAP > a read needs the confirmation of a quorum > must match snapshot 1`] = `
 Array [
   "vouched",
   "not-leader",
--- a/tap-snapshots/src/replicated-log/logProtocol.spec.ts.test.cjs
+++ b/tap-snapshots/src/replicated-log/logProtocol.spec.ts.test.cjs
@@ -5,29 +5,30 @@
  * Make sure to inspect the output below.  Do not ignore changes!
  */
 'use strict'
-exports[`src/replicated-log/logProtocol.spec.ts > TAP > a leader is elected and a command commits on all replicas > must match snapshot 1`] = `
+exports[`src/replicated-log/logProtocol.spec.ts > TAP > a host with a lost disk returns as a new replica, then a second host fails > must match snapshot 1`] = `
 Object {
   "answers": Array [
     "version 1",
+    "version 0",
+    "version 2",
   ],
   "workspaces": Array [
     Array [
-      "w@1",
+      "w@2",
     ],
     Array [
       "w@1",
     ],
     Array [
-      "w@1",
+      "w@2",
     ],
   ],
 }
 `
 
-exports[`src/replicated-log/logProtocol.spec.ts > TAP > a leader that was frozen and wakes does not accept > must match snapshot 1`] = `
+exports[`src/replicated-log/logProtocol.spec.ts > TAP > a leader is elected and a command commits on all replicas > must match snapshot 1`] = `
 Object {
   "answers": Array [
-    "not-leader",
     "version 1",
   ],
   "workspaces": Array [
@@ -44,28 +45,27 @@
 }
 `
 
-exports[`src/replicated-log/logProtocol.spec.ts > TAP > a lost disk comes back as a new replica; then a second host is lost > must match snapshot 1`] = `
+exports[`src/replicated-log/logProtocol.spec.ts > TAP > a leader that resumes after a freeze accepts no proposals > must match snapshot 1`] = `
 Object {
   "answers": Array [
+    "not-leader",
     "version 1",
-    "version 0",
-    "version 2",
   ],
   "workspaces": Array [
     Array [
-      "w@2",
+      "w@1",
     ],
     Array [
       "w@1",
     ],
     Array [
-      "w@2",
+      "w@1",
     ],
   ],
 }
 `
 
-exports[`src/replicated-log/logProtocol.spec.ts > TAP > operators race with equal numbers and one resends after a lost answer > one yes; the resend gets the first outcome; the id with another command is an error 1`] = `
+exports[`src/replicated-log/logProtocol.spec.ts > TAP > operators race with equal versions and one repeats its request after a lost answer > one succeeds; the repeated request gets the first outcome; its id with another command is an error 1`] = `
 Object {
   "answers": Array [
     "version 1",
@@ -87,7 +87,7 @@
 }
 `
 
-exports[`src/replicated-log/logProtocol.spec.ts > TAP > the leader is killed in mid-commit > the resend is applied once on every replica 1`] = `
+exports[`src/replicated-log/logProtocol.spec.ts > TAP > the leader is killed during a commit > the repeated command is applied once on every replica 1`] = `
 Object {
   "answers": Array [
     "no answer",
