--- a/src/beliefs/beliefSystem.ts
+++ b/src/beliefs/beliefSystem.ts
@@ -1,4 +1,4 @@
-/** Records in the journal each change of a belief: lost and recovered peers, backend servers, leader and quorum, and new configurations. */
+/** Records each change of a belief in the journal: lost and recovered peers, backend servers, leader, quorum; new configurations. */
 
 import { RowTable } from '../core/table.js'
 import { NEVER } from '../core/tick.js'
--- a/src/gossip/fanout.ts
+++ b/src/gossip/fanout.ts
@@ -5,13 +5,13 @@
 import type { PeerSelector } from '../membership/peerSelector.js'
 import type { Member } from '../membership/types.js'
 
-/** Chooses the members that receive new rumors immediately; the others receive them with probes and by digest synchronization. */
+/** Chooses the members that receive new rumors immediately; probes and digest synchronization deliver them to the others. */
 export interface Fanout {
   readonly name: string
   targets (tick: GossipTick): Member[]
 }
 
-/** Members of the own zone that receive a new rumor immediately, so that it also spreads within a zone that is partitioned off. */
+/** Members of the own zone that receive a new rumor immediately; it must also spread within a zone that is partitioned off. */
 export const SAME_ZONE_FANOUT = 3
 /** Members of other zones that receive a new rumor immediately. */
 export const OTHER_ZONES_FANOUT = 2
@@ -22,7 +22,7 @@
   return drawn
 }
 
-/** Epidemic dissemination: every host forwards rumors to a few random peers. Needs no full member list, but sends many duplicates. */
+/** Epidemic dissemination: every host forwards rumors to a few random peers. Needs no full member list but sends many duplicates. */
 export class EpidemicFanout implements Fanout {
   readonly name = 'epidemic'
 
@@ -34,7 +34,7 @@
   }
 }
 
-/** Entry hosts per zone to which a control host sends directly; in larger zones entry hosts also forward epidemically. */
+/** Entry hosts per zone to which a control host sends directly; in larger zones the others receive rumors from entry hosts. */
 const MAX_DIRECT_HOSTS_PER_ZONE = 24
 /** Members to which an entry host forwards a rumor; enough to compensate for a control host that has just failed. */
 const ENTRY_FANOUT = 1
--- a/src/gossip/probeSystem.ts
+++ b/src/gossip/probeSystem.ts
@@ -81,7 +81,8 @@
     sendTo(tick, target.host, target.link, { kind: 'probe', sequence: gossip.sequence, index: configuration.index, rumors: takePendingRumors(tick) })
   }
 
-  // Alternates between own zone and other zones: in a zone that is partitioned off, rumors spread without waiting for probes to other zones to time out.
+  // Alternates between the own zone and other zones: in a zone that is partitioned off, rumors must not wait until probes to
+  // other zones time out.
   #probeTargets (tick: GossipTick, sequence: number): readonly Member[] {
     const { sameZone, otherZones } = this.peerSelector.select(tick.tables)
     const [first, second] = sequence % 2 === 0 ? [sameZone, otherZones] : [otherZones, sameZone]
@@ -94,18 +95,18 @@
     const { sameZone, otherZones } = this.peerSelector.select(tick.tables)
     const isAlone = sameZone.length + otherZones.length === 0
     // A host without a confirmed configuration serves no requests, so it synchronizes more often until it has one.
-    const isWaiting = gossip.confirmedAt === null && !gossip.isAuthority
+    const isUnconfirmed = gossip.confirmedAt === null && !gossip.isAuthority
     const unreachable: Array<{ host: HostId, link: Address }> = members.group('dead').map(row => row.member)
     for (const seed of gossip.seeds) {
       if (!members.has(seed.host)) unreachable.push(seed)
     }
     const triesUnreachable = unreachable.length > 0 && (isAlone || tick.random.below(2) === 0)
-    const others = triesUnreachable ? unreachable : [...sameZone, ...otherZones]
-    gossip.nextSyncAt = tick.now + (isWaiting ? UNCONFIRMED_SYNC_INTERVAL_MS : isAlone ? PROBE_INTERVAL_MS : SYNC_INTERVAL_MS)
-    const target = pick(tick.random, others)
+    const candidates = triesUnreachable ? unreachable : [...sameZone, ...otherZones]
+    gossip.nextSyncAt = tick.now + (isUnconfirmed ? UNCONFIRMED_SYNC_INTERVAL_MS : isAlone ? PROBE_INTERVAL_MS : SYNC_INTERVAL_MS)
+    const target = pick(tick.random, candidates)
     if (target === undefined) return
     // Some seeds may be down, so a host that knows no members or waits for its configuration contacts all of them.
-    for (const seed of isAlone || isWaiting ? gossip.seeds : []) {
+    for (const seed of isAlone || isUnconfirmed ? gossip.seeds : []) {
       if (seed.host !== target.host) this.#startSync(tick, seed.host, seed.link)
     }
     this.#startSync(tick, target.host, target.link)
--- a/src/membership/peerSelector.ts
+++ b/src/membership/peerSelector.ts
@@ -4,9 +4,9 @@
 import type { HostId } from '../core/id.js'
 import type { Member, MembershipTables } from './types.js'
 
-/** Peers in the own zone that a host probes and sends rumors to. */
+/** Maximum number of peers in the own zone that a host probes and sends rumors to. */
 export const MAX_SAME_ZONE_PEERS = 8
-/** Peers in other zones that a host probes and sends rumors to. */
+/** Maximum number of peers in other zones that a host probes and sends rumors to. */
 export const MAX_OTHER_ZONES_PEERS = 6
 
 export interface Peers { readonly sameZone: readonly Member[], readonly otherZones: readonly Member[] }
--- a/src/replicated-log/commitSystem.ts
+++ b/src/replicated-log/commitSystem.ts
@@ -99,7 +99,8 @@
     }
   }
 
-  // Only entries of the current term are committed by counting replicas (Raft, section 5.4.2); earlier entries are committed along with them.
+  // Only entries of the current term are committed by counting replicas; earlier entries are committed along with them
+  // (Raft, section 5.4.2).
   #advanceCommit (tick: CommitTick): void {
     const { replica, followers, log } = tick.tables
     const matches: number[] = []
--- a/src/replicated-log/diskStore.ts
+++ b/src/replicated-log/diskStore.ts
@@ -1,4 +1,7 @@
-/** The log on disk: one append-only file that is replaced atomically when a snapshot is written. Does I/O, so it runs at the edge and never inside a system. */
+/**
+ * The log on disk: one append-only file that is replaced atomically when a snapshot is written. It does I/O, so it runs at the
+ * edge and never inside a system.
+ */
 
 import { closeSync, existsSync, fsync, fsyncSync, ftruncateSync, mkdirSync, openSync, readFileSync, renameSync, write, writeSync } from 'node:fs'
 import { promisify } from 'node:util'
@@ -90,7 +93,7 @@
     }
   }
 
-  /** Writes and syncs records. Rejects when a write or sync fails; the process must then exit, as the state on disk is unknown. */
+  /** Writes and syncs records. Rejects when a write or sync fails; the process must then exit. */
   async write (records: readonly DiskRecord[]): Promise<void> {
     let pending: DiskRecord[] = []
     for (const record of records) {
--- a/src/replicated-log/electionSystem.ts
+++ b/src/replicated-log/electionSystem.ts
@@ -1,4 +1,4 @@
-/** Leader election with pre-vote: a replica that returns from a long partition doesn't depose a working leader by a higher term. */
+/** Leader election with pre-vote, so that a replica that returns from a long partition doesn't disturb a working leader. */
 
 import type { Millis, System } from '../core/tick.js'
 import { NEVER } from '../core/tick.js'
@@ -17,7 +17,7 @@
   return request.lastIndex >= lastIndex
 }
 
-// Replicas that are in contact with a leader grant no votes. A leader counts as in contact: check-quorum makes it step down otherwise.
+// Replicas in contact with a leader grant no votes. A leader itself always counts: check-quorum ensures that its quorum replies.
 const hasLeader = (tick: LogTick): boolean => {
   const { role, lastLeaderContactAt } = tick.tables.replica
   return role === 'leader' || tick.now - lastLeaderContactAt < ELECTION_TIMEOUT_MS
--- a/src/replicated-log/groupSystem.ts
+++ b/src/replicated-log/groupSystem.ts
@@ -1,4 +1,7 @@
-/** Single-step membership changes: a new replica first catches up as a learner, then the replica that it replaces is removed, then it becomes a voter. */
+/**
+ * Single-step membership changes: a new replica first catches up as a learner, then the replica that it replaces is removed,
+ * then it becomes a voter.
+ */
 
 import { NEVER } from '../core/tick.js'
 import type { Millis, System, Tick } from '../core/tick.js'
@@ -22,7 +25,7 @@
 
 const containsReplica = (list: readonly Replica[], replica: Replica): boolean => list.some(row => row.replica === replica.replica)
 
-/** Returns the next group on the way to admitting a replica: the same object while it still has to catch up, null when it is already a voter. */
+/** Returns the next group on the way to admitting a replica: the given group until it has caught up, null when it is a voter. */
 export const nextGroup = (group: Group, replica: Replica, isCaughtUp: boolean): Group | null => {
   if (containsReplica(group.voters, replica)) return null
   if (!containsReplica(group.learners, replica)) {
@@ -75,7 +78,8 @@
     if (lost !== null) appendAsLeader(tick, { kind: 'group', group: withoutVoter(replica.group, lost) })
   }
 
-  // A replica that was removed while it was offline still has the old group in its log; all it can observe is that no leader contacts it.
+  // A replica that was removed while it was offline still has the old group in its log; it can only observe that no leader
+  // contacts it.
   #mayBeOutsideGroup (tables: GroupTables, now: Millis): boolean {
     const { role, lastLeaderContactAt } = tables.replica
     if (this.#isOutsideGroup(tables)) return true
@@ -105,7 +109,7 @@
   }
 
   // Two concurrent changes could allow two disjoint majorities, so each one waits until the previous is committed.
-  // A new leader first commits an entry of its own term: an uncommitted change of an earlier leader could conflict with its own.
+  // A new leader first commits an entry of its own term: an uncommitted change of an earlier leader could conflict with its change.
   #mayChangeGroup (tables: GroupTables): boolean {
     const { replica, log } = tables
     if (log.termAt(replica.commit) !== replica.term) return false
--- a/src/replicated-log/readSystem.ts
+++ b/src/replicated-log/readSystem.ts
@@ -1,4 +1,4 @@
-/** Linearizable reads (read index): the leader answers once a quorum has acknowledged a round that was sent after the read arrived. */
+/** Linearizable reads (read index): the leader answers once a quorum has acknowledged a round sent after the read arrived. */
 
 import { NEVER } from '../core/tick.js'
 import type { Millis, System, Tick } from '../core/tick.js'
--- a/src/replicated-log/replicaSteps.ts
+++ b/src/replicated-log/replicaSteps.ts
@@ -69,7 +69,7 @@
   tables.replica.group = latestGroup(tables.replica, tables.log.rows())
 }
 
-/** Answers all pending proposals with `outcome-unknown`: after the loss of leadership their entries may still be committed or dropped. */
+/** Answers all pending calls with `outcome-unknown`: after a loss of leadership their entries may be committed or dropped. */
 export const failProposals = (tick: LogTick): void => {
   for (const row of [...tick.tables.proposals.rows()]) {
     tick.tables.proposals.remove(row.index)
--- a/src/replicated-log/replicaTables.ts
+++ b/src/replicated-log/replicaTables.ts
@@ -20,7 +20,10 @@
   return image.snapshot?.group ?? EMPTY_GROUP
 }
 
-/** Creates the tables of a starting replica. It doesn't campaign or vote during the startup grace period, so that an existing leader can contact it first. */
+/**
+ * Creates the tables of a starting replica. It doesn't campaign or vote during the startup grace period, so that an existing
+ * leader can contact it first.
+ */
 export const createLogTables = (self: Replica, image: DiskImage, now: Millis, electionAt: Millis): LogTables => {
   const base = image.snapshot
   const log = new LogTable(base?.index ?? 0, base?.term ?? 0, image.entries)
--- a/src/replicated-log/replicationSystem.ts
+++ b/src/replicated-log/replicationSystem.ts
@@ -37,14 +37,14 @@
 const sendEntries = (tick: LogTick, to: Replica, follower: FollowerRow, isHeartbeat: boolean): void => {
   const { replica, log } = tick.tables
   const { term, round, self } = replica
-  const isInFlight = tick.now < follower.inFlightUntil
+  const hasEntriesInFlight = tick.now < follower.inFlightUntil
   if (follower.nextIndex <= log.baseIndex && replica.snapshot !== null) {
-    if (isInFlight) return
+    if (hasEntriesInFlight) return
     follower.inFlightUntil = tick.now + RESEND_TIMEOUT_MS
     sendLogMessage(tick, to, { kind: 'install', term, replica: self.replica, round, snapshot: replica.snapshot }, false)
     return
   }
-  const entries = isInFlight ? [] : log.slice(follower.nextIndex, MAX_ENTRIES_PER_APPEND)
+  const entries = hasEntriesInFlight ? [] : log.slice(follower.nextIndex, MAX_ENTRIES_PER_APPEND)
   if (entries.length === 0 && !isHeartbeat) return
   const previousIndex = follower.nextIndex - 1
   const previousTerm = log.termAt(previousIndex) ?? 0
@@ -60,7 +60,7 @@
   return entries.length
 }
 
-// Lowers the synced index along with the log: a completed sync of dropped entries must not count for the entries that replace them.
+// Also lowers the synced index: a completed sync of dropped entries must not count for the entries that replace them.
 const truncateLogFrom = (tick: LogTick, index: number): void => {
   const { log, replica } = tick.tables
   log.truncateFrom(index)
@@ -151,7 +151,8 @@
     this.#reply(tick, from, message.round, true, match)
   }
 
-  // A replica without a group has no address for the leader. This row lets it reply: the empty address makes the edge use the existing link.
+  // A replica without a group has no address for the leader. This row lets it reply: with the empty address the edge only uses
+  // an existing link.
   #recordSender (tick: LogTick, from: HostId, replica: Replica['replica']): void {
     if (findReplicaOnHost(tick.tables, from) !== undefined) return
     tick.tables.joining.put({ replica, host: from, link: { address: '', port: 0 }, heardAt: tick.now })
--- a/src/replicated-log/types.ts
+++ b/src/replicated-log/types.ts
@@ -76,7 +76,7 @@
   readonly afterSync: boolean
 }
 
-/** Asks for a record to be written and synced; a failed sync ends the process. */
+/** Requests that a record is written and synced; a failed sync ends the process. */
 export interface PersistRequested { readonly kind: 'persist', readonly record: DiskRecord, readonly sequence: number }
 
 /** Reports that all persist requests up to and including this sequence are synced. */
@@ -107,7 +107,7 @@
 /** Requests a linearizable read of the configuration (read index). */
 export interface ReadRequested { readonly kind: 'read', readonly call: CallId }
 
-/** Without an error, a quorum has confirmed that the configuration on this host is the newest; otherwise says why it cannot be read here. */
+/** Answers a read; without an error, a quorum has confirmed that the configuration of this host is the newest. */
 export interface ReadAnswered {
   readonly kind: 'read-answer'
   readonly call: CallId
