--- a/src/admission/allowanceBucket.ts
+++ b/src/admission/allowanceBucket.ts
@@ -1,4 +1,4 @@
-/** A token bucket over one host's part of a workspace's allowance, with tokens lent and borrowed for a short time. */
+/** The token bucket for one host's share of a workspace's rate limit. Hosts lend each other tokens for a limited time. */
 
 import type { HostId, WorkspaceId } from '../core/id.js'
 import { NEVER } from '../core/tick.js'
@@ -6,24 +6,24 @@
 import type { AllowanceRow, Credit, Settlement } from './types.js'
 
 const MS_PER_SECOND = 1_000
-/** Time constant of the demand estimate. */
+/** Time constant of the exponential moving average of demand. */
 const DEMAND_TIME_CONSTANT_MS: Millis = 500
-/** Floating-point slack when a bucket holds a whole token but for rounding. */
+/** Tolerance for rounding errors when a bucket holds nearly a whole token. */
 const EPSILON = 1e-9
-/** Settlements kept for one lender; a lender that is not told in time ends its loans by itself. */
+/** Pending settlements per lender. Further ones are dropped: the lender's loan then ends by its own expiry. */
 const MAX_SETTLEMENTS_PER_LENDER = 64
 
-/** How long lent tokens may be spent, from when they were asked for. */
+/** How long borrowed tokens may be spent, from the time of the request for them. */
 export const LOAN_DURATION_MS: Millis = 300
-/** Bound on the difference of two monotonic clocks over one loan. */
+/** Bound on the drift between the monotonic clocks of two hosts over one loan. */
 const MAX_CLOCK_DRIFT_MS: Millis = 50
 
-/** When a loan that is asked for now has ended at the lender, whatever the borrower's clock does. */
+/** Returns when a loan requested now expires at the lender. Includes the clock drift, so that the borrower's credit expires first. */
 export const lenderLoanExpiry = (now: Millis): Millis => now + LOAN_DURATION_MS + MAX_CLOCK_DRIFT_MS
 
 /**
- * An empty bucket. It earns nothing until every loan that this host may have given before a restart has ended,
- * or restarts would become bursts.
+ * Creates an empty bucket. It earns no tokens until every loan that this host may have granted before a restart has
+ * expired; otherwise a restart would allow a second burst.
  */
 export const createAllowance = (workspace: WorkspaceId, now: Millis): AllowanceRow => ({
   workspace,
@@ -51,7 +51,7 @@
   return amount
 }
 
-// A lender that learns early that a credit is settled has its room back before the loan ends.
+// Queues a settlement for the lender, which can then reuse the burst capacity before its loan expires.
 const queueSettlement = (row: AllowanceRow, credit: Credit): void => {
   const list = row.settlements.get(credit.lender)
   const settlement: Settlement = { ask: credit.ask, unspent: credit.amount }
@@ -59,50 +59,50 @@
   else if (list.length < MAX_SETTLEMENTS_PER_LENDER) list.push(settlement)
 }
 
-const dropCredits = (row: AllowanceRow, isOver: (credit: Credit) => boolean): void => {
-  if (!row.credits.some(isOver)) return
+const dropCredits = (row: AllowanceRow, isFinished: (credit: Credit) => boolean): void => {
+  if (!row.credits.some(isFinished)) return
   for (const credit of row.credits) {
-    if (isOver(credit)) queueSettlement(row, credit)
+    if (isFinished(credit)) queueSettlement(row, credit)
   }
-  row.credits = row.credits.filter(credit => !isOver(credit))
+  row.credits = row.credits.filter(credit => !isFinished(credit))
 }
 
-/** Ends a loan whose borrower will not spend it any further; unspent tokens come back. */
+/** Ends a settled loan and puts its unspent tokens back into the bucket. Ignores a settlement without a matching loan. */
 export const applySettlement = (row: AllowanceRow, settlement: Settlement, now: Millis): void => {
   refill(row, now)
   const loan = row.loans.find(candidate => candidate.ask === settlement.ask)
   if (loan === undefined) return
   row.loans = row.loans.filter(candidate => candidate !== loan)
-  const room = Math.max(0, row.burst - lentAmount(row))
-  row.tokens = Math.min(room, row.tokens + Math.min(loan.amount, Math.max(0, settlement.unspent)))
+  const capacity = Math.max(0, row.burst - lentAmount(row))
+  row.tokens = Math.min(capacity, row.tokens + Math.min(loan.amount, Math.max(0, settlement.unspent)))
 }
 
-/** Takes the settlements that a lender is to be told of. */
+/** Removes and returns the settlements that are queued for a lender. */
 export const takePendingSettlements = (row: AllowanceRow, lender: HostId): readonly Settlement[] => {
   const list = row.settlements.get(lender) ?? []
   row.settlements.delete(lender)
   return list
 }
 
-/** When the next credit ends; its unspent tokens then go back. */
+/** Returns the earliest expiry of a credit. */
 export const nextCreditExpiry = (row: AllowanceRow): Millis => {
   let earliest = NEVER
   for (const credit of row.credits) earliest = Math.min(earliest, credit.endsAt)
   return earliest
 }
 
-/** Earns tokens up to the present and ends loans and credits that are over. */
+/** Adds the tokens earned since the last refill and drops expired loans and credits. */
 export const refill = (row: AllowanceRow, now: Millis): void => {
   if (row.loans.some(loan => loan.endsAt <= now)) row.loans = row.loans.filter(loan => loan.endsAt > now)
   dropCredits(row, credit => credit.endsAt <= now)
   const earned = row.rate * (now - row.refilledAt) / MS_PER_SECOND
-  // Lent tokens still count against the burst: they may be spent elsewhere until the loan has ended.
-  const room = Math.max(0, row.burst - lentAmount(row))
-  row.tokens = Math.min(room, row.tokens + earned)
+  // Lent tokens count against the burst, because they may be spent on another host until the loan expires.
+  const capacity = Math.max(0, row.burst - lentAmount(row))
+  row.tokens = Math.min(capacity, row.tokens + earned)
   row.refilledAt = now
 }
 
-/** Changes the host's part; what it holds above the new burst is lost. */
+/** Changes the rate and burst of the bucket. Tokens above the new burst are discarded. */
 export const resize = (row: AllowanceRow, rate: number, burst: number, now: Millis): void => {
   if (row.rate === rate && row.burst === burst) return
   refill(row, now)
@@ -111,33 +111,33 @@
   row.tokens = Math.min(row.tokens, burst)
 }
 
-/** Tokens that may be spent now, borrowed ones included. */
+/** Returns the number of tokens that may be spent now, including borrowed ones. */
 export const spendableTokens = (row: AllowanceRow): number => {
   let amount = row.tokens
   for (const credit of row.credits) amount += credit.amount
   return amount
 }
 
-/** Takes one token, borrowed ones first since they end soonest; false when there is no whole token. */
+/** Takes one token, from credits first because they expire sooner. Returns false when less than one token is left. */
 export const takeToken = (row: AllowanceRow, now: Millis): boolean => {
   refill(row, now)
   if (spendableTokens(row) + EPSILON < 1) return false
-  let due = 1
+  let remaining = 1
   for (const credit of row.credits) {
-    const part = Math.min(due, credit.amount)
+    const part = Math.min(remaining, credit.amount)
     credit.amount -= part
-    due -= part
-    if (due <= 0) break
+    remaining -= part
+    if (remaining <= 0) break
   }
   dropCredits(row, credit => credit.amount <= EPSILON)
-  row.tokens = Math.max(0, row.tokens - due)
+  row.tokens = Math.max(0, row.tokens - remaining)
   return true
 }
 
-/** Lends up to an amount until a time; returns what was lent. */
-export const lend = (row: AllowanceRow, ask: string, wanted: number, keep: number, now: Millis, endsAt: Millis): number => {
+/** Lends at most the requested amount and leaves the reserve in the bucket. Returns the amount lent. */
+export const lend = (row: AllowanceRow, ask: string, requested: number, reserve: number, now: Millis, endsAt: Millis): number => {
   refill(row, now)
-  const amount = Math.max(0, Math.min(wanted, row.tokens - keep))
+  const amount = Math.max(0, Math.min(requested, row.tokens - reserve))
   if (amount <= EPSILON) return 0
   row.tokens -= amount
   row.loans.push({ ask, amount, endsAt })
@@ -147,7 +147,7 @@
 /** Counts an arrival for the demand estimate. */
 export const countArrival = (row: AllowanceRow): void => { row.arrivalsSinceUpdate += 1 }
 
-/** Brings the demand estimate up to the present. */
+/** Updates the demand estimate from the arrivals since the last update. */
 export const updateDemand = (row: AllowanceRow, now: Millis): void => {
   const elapsed = now - row.demandUpdatedAt
   if (elapsed < DEMAND_TIME_CONSTANT_MS / 10) return
--- a/src/admission/allowanceParts.ts
+++ b/src/admission/allowanceParts.ts
@@ -1,4 +1,4 @@
-/** Divides every workspace's allowance among entry hosts, in advance and alike on all of them. */
+/** Divides the rate limit of each workspace among the entry hosts. Every host computes the same shares without coordination. */
 
 import type { HostId, WorkspaceId, ZoneId } from '../core/id.js'
 import { rendezvousWeight } from '../core/rendezvous.js'
@@ -7,17 +7,17 @@
 import type { Workspace } from '../configuration/types.js'
 import type { MembershipTables } from '../membership/types.js'
 
-/** Requests a second that a holder's part is worth at least; a smaller part would often lack a whole token. */
+/** Minimum rate of one share, in requests per second. A bucket with a smaller rate would often hold less than one token. */
 const MIN_RATE_PER_HOLDER = 8
 
 type PartTables = Pick<MembershipTables, 'members'> & { readonly configuration: Configuration }
 
-/** A host's own part of a workspace's rate and burst. */
+/** A host's share of a workspace's rate and burst. */
 export interface AllowanceShare { readonly rate: number, readonly burst: number }
 
 interface Division { readonly rate: number, readonly parts: ReadonlyMap<HostId, number> }
 
-// All known hosts count, dead ones too: they may be back with their part at any moment.
+// Includes hosts that are marked dead: they may come back at any time and go on using their share.
 const entryHostsByZone = (tables: PartTables): Map<ZoneId, HostId[]> => {
   const zones = new Map<ZoneId, HostId[]>()
   for (const { member } of tables.members.rows()) {
@@ -29,7 +29,7 @@
   return zones
 }
 
-// Zones have equal parts, since callers stand in zones. In a zone as many hosts hold a part as it is worth dividing.
+// Every zone gets an equal share. Within a zone, the share is split over as many hosts as MIN_RATE_PER_HOLDER allows.
 const divide = (zones: ReadonlyMap<ZoneId, readonly HostId[]>, workspace: WorkspaceId, rate: number): ReadonlyMap<HostId, number> => {
   const parts = new Map<HostId, number>()
   for (const hosts of zones.values()) {
@@ -40,13 +40,13 @@
   return parts
 }
 
-/** The parts of each workspace, kept while the known hosts stay the same. */
+/** Caches the shares of each workspace until the membership changes. */
 export class AllowanceParts {
   #revision = -1
   #zones: ReadonlyMap<ZoneId, readonly HostId[]> = new Map()
   readonly #divisions = new Map<WorkspaceId, Division>()
 
-  /** A host's part of a workspace's allowance, 0 to 1: as operators registered it, or divided evenly where they registered nobody. */
+  /** Returns a host's share of a workspace's rate limit, 0 to 1: the registered parts, or a computed share when no host is registered. */
   partOf (tables: PartTables, { workspace, rate }: Pick<Workspace, 'workspace' | 'rate'>, host: HostId): number {
     const { entryHosts } = tables.configuration
     if (entryHosts.size > 0) return (entryHosts.get(host)?.parts ?? 0) / ALLOWANCE_PARTS
@@ -59,10 +59,10 @@
     return division.parts.get(host) ?? 0
   }
 
-  /** What a host may grant of a workspace's allowance on its own: requests a second, and at once. */
+  /** Returns the rate and burst that a host may grant without borrowing. */
   allowanceOf (tables: PartTables, workspace: Workspace, host: HostId): AllowanceShare {
-    const part = this.partOf(tables, workspace, host)
-    return { rate: workspace.rate * part, burst: workspace.burst * part }
+    const share = this.partOf(tables, workspace, host)
+    return { rate: workspace.rate * share, burst: workspace.burst * share }
   }
 
   #refresh (tables: PartTables): void {
--- a/src/admission/allowancePolicy.ts
+++ b/src/admission/allowancePolicy.ts
@@ -1,4 +1,4 @@
-/** Ways to make a workspace's allowance follow its demand between hosts; none of them may grant more than the whole. */
+/** Policies that move a workspace's rate limit between hosts as its demand moves. No policy may grant more than the limit. */
 
 import type { HostId } from '../core/id.js'
 import type { Millis, Tick } from '../core/tick.js'
@@ -13,16 +13,16 @@
 /** One tick as seen by admission. */
 export type AllowanceTick = Tick<AllowanceTables, unknown, MessageSent<AllowanceMessage>>
 
-/** How a host that runs short gets tokens. */
+/** Decides how a host with too few tokens gets more. */
 export interface AllowancePolicy {
   readonly name: string
-  /** How long a request may wait for tokens from elsewhere. */
+  /** Returns how long a request may be held for borrowed tokens. */
   maxHoldMs (row: AllowanceRow, now: Millis): Millis
-  /** Called when a host has fewer tokens than it needs. */
+  /** Called in each tick for every workspace that had requests waiting for admission. */
   requestTokens (tick: AllowanceTick, row: AllowanceRow): void
 }
 
-/** The baseline: each host keeps to its own part. */
+/** The baseline: each host grants only its own share. */
 export class FixedPartPolicy implements AllowancePolicy {
   readonly name = 'fixed-part'
   maxHoldMs (): Millis { return 0 }
@@ -30,13 +30,13 @@
   requestTokens (): void {}
 }
 
-/** How long a request waits for tokens, by default. */
+/** Default time for which a request is held for borrowed tokens. */
 export const DEFAULT_HOLD_MS: Millis = 500
-/** Pause between two rounds of asking. */
+/** Default pause between two rounds of token requests. */
 const DEFAULT_ASK_INTERVAL_MS: Millis = 40
-/** Demand that is asked for ahead of its arrival, by default. */
+/** Default lookahead: a round requests tokens for the demand expected within this time. */
 export const DEFAULT_LOOKAHEAD_MS: Millis = 350
-/** Hosts asked in one round. */
+/** Default number of hosts that receive a token request in one round. */
 const DEFAULT_MAX_LENDERS = 32
 
 const allowanceAt = (tables: AllowanceTables, row: AllowanceRow, host: HostId): AllowanceShare => {
@@ -46,11 +46,11 @@
 
 const MS_PER_SECOND = 1_000
 
-// A lender that was never asked is taken to be full.
+// Estimates the tokens at another host. Assumes a full bucket where no balance is known.
 const estimateAvailable = (tables: AllowanceTables, row: AllowanceRow, lender: LenderBalance | undefined, host: HostId, now: Millis): number => {
-  const part = allowanceAt(tables, row, host)
-  if (lender === undefined) return part.burst
-  return Math.min(part.burst, lender.left + part.rate * (now - lender.heardAt) / MS_PER_SECOND)
+  const share = allowanceAt(tables, row, host)
+  if (lender === undefined) return share.burst
+  return Math.min(share.burst, lender.left + share.rate * (now - lender.heardAt) / MS_PER_SECOND)
 }
 
 const distanceTier = (member: Member, self: Member): number => {
@@ -58,64 +58,65 @@
   return member.region === self.region ? 1 : 2
 }
 
-/** How tokens are borrowed. */
+/** Settings of a LendingPolicy. */
 export interface LendingOptions {
-  /** Demand that is asked for ahead of its arrival. */
+  /** A round requests tokens for the demand expected within this time. */
   readonly lookaheadMs: Millis
-  /** How long a request waits for tokens. */
+  /** How long a request is held for borrowed tokens. */
   readonly holdMs: Millis
-  /** Pause between two rounds of asking. */
+  /** Default pause between two rounds of token requests. */
   readonly askIntervalMs: Millis
-  /** Hosts asked in one round. */
+  /** Default number of hosts that receive a token request in one round. */
   readonly maxLenders: number
-  /** How long nobody is asked after a round without a token; requests are then refused at once. */
+  /** Backoff after a round that brought no token. Until it ends, no host is asked and requests are refused without being held. */
   readonly exhaustedBackoffMs: Millis
 }
 
-/** Few messages for a fleet on small links: fewer hosts are asked, less often, and for more at a time. */
+/** Lending with fewer messages, for fleets on low-bandwidth links: asks fewer hosts and backs off after a round without a token. */
 export const FRUGAL_LENDING: Partial<LendingOptions> = { lookaheadMs: 300, holdMs: 200, askIntervalMs: 40, maxLenders: 6, exhaustedBackoffMs: 100 }
 
-/** Borrows tokens from other hosts for a short time, nearest lenders first. */
+/** Borrows tokens from other hosts for a limited time, from the nearest first. */
 export class LendingPolicy implements AllowancePolicy {
   readonly name = 'lending'
 
-  readonly #terms: LendingOptions
+  readonly #options: LendingOptions
 
-  constructor (terms: Partial<LendingOptions> = {}) {
-    this.#terms = { lookaheadMs: DEFAULT_LOOKAHEAD_MS, holdMs: DEFAULT_HOLD_MS, askIntervalMs: DEFAULT_ASK_INTERVAL_MS, maxLenders: DEFAULT_MAX_LENDERS, exhaustedBackoffMs: 0, ...terms }
+  constructor (options: Partial<LendingOptions> = {}) {
+    this.#options = { lookaheadMs: DEFAULT_LOOKAHEAD_MS, holdMs: DEFAULT_HOLD_MS, askIntervalMs: DEFAULT_ASK_INTERVAL_MS, maxLenders: DEFAULT_MAX_LENDERS, exhaustedBackoffMs: 0, ...options }
   }
 
-  maxHoldMs (row: AllowanceRow, now: Millis): Millis { return this.#isDry(row, now) ? 0 : this.#terms.holdMs }
+  maxHoldMs (row: AllowanceRow, now: Millis): Millis { return this.#isExhausted(row, now) ? 0 : this.#options.holdMs }
 
-  // After a round of answers without a token the whole fleet has none left, and asking again at once would not help.
-  #isDry (row: AllowanceRow, now: Millis): boolean { return now < row.exhaustedAt + this.#terms.exhaustedBackoffMs }
+  // After a round without a token the other hosts are taken to have none left, so that further requests would only add messages.
+  #isExhausted (row: AllowanceRow, now: Millis): boolean { return now < row.exhaustedAt + this.#options.exhaustedBackoffMs }
 
   requestTokens (tick: AllowanceTick, row: AllowanceRow): void {
-    if (tick.now < row.nextAskAt || this.#isDry(row, tick.now)) return
+    if (tick.now < row.nextAskAt || this.#isExhausted(row, tick.now)) return
     refill(row, tick.now)
-    const wanted = row.held + row.demand * this.#terms.lookaheadMs / MS_PER_SECOND - spendableTokens(row)
+    const wanted = row.held + row.demand * this.#options.lookaheadMs / MS_PER_SECOND - spendableTokens(row)
     if (wanted <= 0) return
-    row.nextAskAt = tick.now + this.#terms.askIntervalMs
-    this.#ask(tick, row, wanted)
+    row.nextAskAt = tick.now + this.#options.askIntervalMs
+    this.#sendTokenRequests(tick, row, wanted)
   }
 
-  #ask (tick: AllowanceTick, row: AllowanceRow, wanted: number): void {
+  #sendTokenRequests (tick: AllowanceTick, row: AllowanceRow, wanted: number): void {
     let missing = wanted
     let asked = 0
-    for (const { member, available } of this.#lenders(tick, row)) {
-      if (missing <= 0 || asked >= this.#terms.maxLenders) return
+    for (const { member, available } of this.#findLenders(tick, row)) {
+      if (missing <= 0 || asked >= this.#options.maxLenders) return
       const amount = Math.min(missing, available)
       missing -= amount
       asked += 1
-      const ask = this.#openAsk(tick, row)
-      // Until the answer comes, what was asked for counts as taken.
+      const ask = this.#createAsk(tick, row)
+      // Counts the requested amount as lent until the grant arrives.
       row.lenders.set(member.host, { host: member.host, left: available - amount, heardAt: tick.now })
       tick.emit({ kind: 'send', to: member.host, address: member.link, message: { kind: 'token-request', workspace: row.workspace, amount, ask, settled: takePendingSettlements(row, member.host) } })
     }
   }
 
-  // The host keeps the loans of two borrowers apart at their lender; the epoch keeps a grant to an earlier process from being taken by this one.
-  #openAsk (tick: AllowanceTick, row: AllowanceRow): string {
+  // The id of a token request names the host, so that a lender can tell its borrowers apart, and the epoch, so that a grant
+  // to an earlier process of this host is not accepted.
+  #createAsk (tick: AllowanceTick, row: AllowanceRow): string {
     for (const [ask, sentAt] of row.pendingAsks) {
       if (isGrantFresh(sentAt, tick.now)) break
       row.pendingAsks.delete(ask)
@@ -127,7 +128,7 @@
     return ask
   }
 
-  #lenders (tick: AllowanceTick, row: AllowanceRow): Array<{ member: Member, available: number }> {
+  #findLenders (tick: AllowanceTick, row: AllowanceRow): Array<{ member: Member, available: number }> {
     const self = tick.tables.gossip.self
     const lenders: Array<{ member: Member, available: number, distance: number }> = []
     for (const { member } of tick.tables.members.rows()) {
@@ -140,8 +141,8 @@
   }
 }
 
-/** Loans below this many tokens are not worth a message. */
+/** Smallest estimated balance, in tokens, that is worth a token request. */
 export const MIN_LOAN_TOKENS = 0.02
 
-/** Whether a grant still has time to be spent. */
+/** Whether tokens requested at sentAt may still be spent. */
 export const isGrantFresh = (sentAt: Millis, now: Millis): boolean => now < sentAt + LOAN_DURATION_MS
--- a/src/admission/fleetAllowance.spec.ts
+++ b/src/admission/fleetAllowance.spec.ts
@@ -36,19 +36,19 @@
 
 const fixedPart = (): EntryPolicies => ({ ...defaultPolicies(), allowance: new FixedPartPolicy() })
 
-t.test('all of a workspace lands on one host that holds a small part', async t => {
+t.test('lending serves a workspace whose whole traffic arrives at one host with a small share', async t => {
   for (const [name, policies, bound] of [['lending', defaultPolicies, 0.01], ['fixed-part', fixedPart, null]] as const) {
     const { fleet, entry } = build(1, policies)
     entry.sendEvenly('w', 'lookup', RATE * 0.9, fleet.now + 10, fleet.now + 2_010, () => hostAt(0))
     fleet.runFor(8_000)
     const refused = share(entry.outcomes, 'over-rate')
     t.equal(maxGrantsOverLimit(entry.grants, RATE, BURST), 0, `${name}: nothing granted over rate and burst`)
-    if (bound === null) t.ok(refused > 0.5, 'the baseline refuses most of it')
-    else t.ok(refused < bound, `${name}: wrongful refusals under 1 % in the two seconds after the move, found ${refused}`)
+    if (bound === null) t.ok(refused > 0.5, 'the baseline refuses most requests')
+    else t.ok(refused < bound, `${name}: under 1 % wrongly refused in the two seconds after the move, found ${refused}`)
   }
 })
 
-t.test('all workspaces at 90 % of their rate, traffic moving between hosts every second', async t => {
+t.test('rarely refuses workspaces at 90 % of their rate while their traffic moves between hosts every second', async t => {
   const workspaces = ['w1', 'w2', 'w3', 'w4', 'w5', 'w6', 'w7', 'w8']
   const { fleet, entry } = build(2, defaultPolicies, workspaces)
   const start = fleet.now + 10
@@ -61,17 +61,17 @@
   for (const workspace of workspaces) {
     t.equal(maxGrantsOverLimit(entry.grants.filter(row => row.workspace === workspace), RATE, BURST), 0)
   }
-  t.ok(refused < 0.001, `wrongful refusals under 0.1 %, found ${refused}`)
+  t.ok(refused < 0.001, `under 0.1 % wrongly refused, found ${refused}`)
 })
 
-t.test('a noisy workspace at five times its rate harms no other', async t => {
-  const run = (noise: boolean): VirtualEntry => {
+t.test('a workspace at five times its rate does not slow down the others', async t => {
+  const run = (hasNoisyWorkspace: boolean): VirtualEntry => {
     const { fleet, entry } = build(3, defaultPolicies, ['quiet1', 'quiet2', 'quiet3', 'noisy'])
     const start = fleet.now + 10
     for (const [number, workspace] of ['quiet1', 'quiet2', 'quiet3'].entries()) {
       entry.sendEvenly(workspace, 'lookup', RATE * 0.9, start, start + 10_000, (_now, n) => hostAt(number * 3 + n % 3))
     }
-    if (noise) entry.sendEvenly('noisy', 'lookup', RATE * 5, start, start + 10_000, (_now, n) => hostAt(n))
+    if (hasNoisyWorkspace) entry.sendEvenly('noisy', 'lookup', RATE * 5, start, start + 10_000, (_now, n) => hostAt(n))
     fleet.runFor(16_000)
     return entry
   }
@@ -88,11 +88,11 @@
     t.ok(served >= 0.98, `${workspace}: at least 98 % served, found ${served}`)
     const before = p99(quiet, workspace)
     const after = p99(noisy, workspace)
-    t.ok(after <= 1.5 * before, `${workspace}: p99 at most 1.5 times that without the noise, found ${after} against ${before}`)
+    t.ok(after <= 1.5 * before, `${workspace}: p99 at most 1.5 times that without the noisy workspace, found ${after} against ${before}`)
   }
 })
 
-t.test('a zone that is cut off goes on with its own part, and the whole is never exceeded', async t => {
+t.test('a partitioned zone serves from its own share, and the fleet stays within the limit', async t => {
   const { fleet, entry } = build(4, defaultPolicies)
   fleet.network.isCut = (from, to) => from.startsWith('n1') !== to.startsWith('n1')
   const start = fleet.now + 10
@@ -101,10 +101,10 @@
   fleet.runFor(12_000)
   const inside = entry.outcomes.filter(row => row.host === 'n1-1')
   t.equal(maxGrantsOverLimit(entry.grants, RATE, BURST), 0)
-  t.ok(share(inside, 'over-rate') < 0.01, 'a tenth of the rate is inside what the zone holds')
+  t.ok(share(inside, 'over-rate') < 0.01, 'a tenth of the rate is within the share of the zone')
 })
 
-t.test('kills, restarts, cuts, lost, doubled and late messages never let a workspace over its rate and burst', async t => {
+t.test('never exceeds rate and burst under restarts, partitions, pauses and lost, duplicated or late messages', async t => {
   const property = fc.property(
     fc.nat(1_000_000),
     fc.array(fc.record({ kind: fc.constantFrom('restart', 'cut', 'heal', 'freeze', 'thaw', 'thaw'), target: fc.nat(places.length - 1), pause: fc.integer({ min: 50, max: 900 }) }), { minLength: 5, maxLength: 20 }),
--- a/src/admission/lending.spec.ts
+++ b/src/admission/lending.spec.ts
@@ -8,14 +8,14 @@
 import { LOAN_DURATION_MS, createAllowance, lend, lenderLoanExpiry, refill, resize, spendableTokens, applySettlement, takePendingSettlements, takeToken } from './allowanceBucket.js'
 import type { AllowanceRow } from './types.js'
 
-const row = (now: number): AllowanceRow => {
-  const made = createAllowance(toId('w'), now)
-  resize(made, 10, 5, now)
-  return made
+const createBucket = (now: number): AllowanceRow => {
+  const bucket = createAllowance(toId('w'), now)
+  resize(bucket, 10, 5, now)
+  return bucket
 }
 
-t.test('a bucket earns up to its burst, and a whole token at a time is spent', async t => {
-  const bucket = row(0)
+t.test('refills up to the burst and spends whole tokens only', async t => {
+  const bucket = createBucket(0)
   refill(bucket, lenderLoanExpiry(0))
   const earned: number[] = []
   for (const now of [500, 1_000, 10_000]) {
@@ -26,22 +26,22 @@
   t.matchSnapshot({ earned, spent })
 })
 
-t.test('a restarted host earns nothing until every loan it may have given has ended', async t => {
-  const before = row(0)
+t.test('a restarted host earns no tokens until every loan that it may have granted has expired', async t => {
+  const before = createBucket(0)
   refill(before, 10_000)
   const lent = lend(before, 'a', 5, 0, 10_000, lenderLoanExpiry(10_000))
-  const restarted = row(10_001)
+  const restarted = createBucket(10_001)
   const held: number[] = []
   for (let now = 10_001; now < lenderLoanExpiry(10_000); now += 10) {
     refill(restarted, now)
     held.push(restarted.tokens)
   }
   t.equal(lent, 5)
-  t.same(new Set(held), new Set([0]), 'what it lent and what it holds stay within its burst')
+  t.same(new Set(held), new Set([0]), 'lent tokens and held tokens stay within the burst')
 })
 
-t.test('lent tokens take up room until the loan ends or is settled', async t => {
-  const bucket = row(0)
+t.test('lent tokens count against the burst until the loan expires or is settled', async t => {
+  const bucket = createBucket(0)
   refill(bucket, 10_000)
   lend(bucket, 'a', 3, 0, 10_000, lenderLoanExpiry(10_000))
   refill(bucket, 10_200)
@@ -50,11 +50,11 @@
   applySettlement(bucket, { ask: 'a', unspent: 1 }, 10_200)
   const settled = bucket.tokens
   refill(bucket, 20_000)
-  t.matchSnapshot({ blocked, settled, full: bucket.tokens }, 'a doubled settlement brings nothing')
+  t.matchSnapshot({ blocked, settled, full: bucket.tokens }, 'a duplicate settlement is ignored')
 })
 
-t.test('a credit that ends is settled with its lender, with what is left of it', async t => {
-  const bucket = row(0)
+t.test('reports the unspent tokens of an expired credit to its lender', async t => {
+  const bucket = createBucket(0)
   const lender = toId<HostId>('n1-2')
   bucket.credits.push({ lender, ask: 'a', amount: 1.5, endsAt: 1_000 }, { lender, ask: 'b', amount: 1, endsAt: 1_000 }, { lender, ask: 'c', amount: 1, endsAt: 2_000 })
   const served = takeToken(bucket, 500)
@@ -66,7 +66,7 @@
 
 const places: VirtualPlace[] = ['n1-1', 'n1-2'].map(host => ({ host, zone: 'n1', region: 'n' }))
 
-t.test('a grant that comes twice, late or unasked is not taken', async t => {
+t.test('ignores duplicate, late and unsolicited grants', async t => {
   const fleet = new VirtualFleet(1)
   const entry = new VirtualEntry(fleet, places, new ConfigurationBuilder().profile(ordinaryTerms).service('s').hosts(places).workspace('w', 20, 10).snapshot())
   fleet.runFor(6_000)
@@ -77,7 +77,7 @@
     if (found === undefined) throw new Error('no allowance')
     return found
   }
-  // The lender is cut off, so that only the grants made up here arrive.
+  // Partitions the network, so that only the grants pushed by this test arrive.
   fleet.network.isCut = () => true
   for (let n = 0; n < 8; n += 1) entry.send('n1-1', { service: 's', workspace: 'w' })
   fleet.runFor(1)
--- a/src/admission/plannedAllowance.spec.ts
+++ b/src/admission/plannedAllowance.spec.ts
@@ -10,12 +10,12 @@
 import { FRUGAL_LENDING, LendingPolicy } from './allowancePolicy.js'
 import { AllowanceParts } from './allowanceParts.js'
 
-/** Requests a second that the callers of each workspace send; a few are large. */
+/** Request rate of each workspace, per second: a few large workspaces and several small ones. */
 const DEMANDS = [220, 120, 60, 30, 20, 12, 8, 4]
-/** What a workspace may send against what it sends. */
+/** Ratio of a workspace's rate limit to its request rate. */
 const RATE_OVER_DEMAND = 1.6
-const SECONDS = 12
-const REGION_MS = 35
+const DURATION_S = 12
+const REGION_DELAY_MS = 35
 
 const places = placesOver(['n', 'm', 's'], 2, 4)
 const nameOf = (number: number): string => `w${number}`
@@ -29,19 +29,19 @@
   document: null
 }
 
-t.test('callers of workspaces large and small that keep to five eighths of their rate are not refused', async t => {
+t.test('does not refuse large and small workspaces at five eighths of their rate', async t => {
   const fleet = new VirtualFleet(5)
-  fleet.network.delay = delayBetween(REGION_MS)
+  fleet.network.delay = delayBetween(REGION_DELAY_MS)
   const entry = new VirtualEntry(fleet, places, new ConfigurationBuilder().run({ kind: 'put-plan', plan }).snapshot(), () => ({ ...defaultPolicies(), allowance: new LendingPolicy(FRUGAL_LENDING) }))
   for (const zone of ['n1', 'n2', 'm1', 'm2', 's1', 's2']) entry.addServer('s', `server-${zone}`, zone, 200, 20)
   fleet.runFor(8_000)
-  const whole = DEMANDS.reduce((sum, demand) => sum + demand, 0)
+  const totalDemand = DEMANDS.reduce((sum, demand) => sum + demand, 0)
   const start = fleet.now
-  while (fleet.now < start + SECONDS * 1_000) {
-    let left = fleet.random.unit() * whole
+  while (fleet.now < start + DURATION_S * 1_000) {
+    let left = fleet.random.unit() * totalDemand
     const number = Math.max(0, DEMANDS.findIndex(demand => { left -= demand; return left < 0 }))
     entry.send(places[fleet.random.below(places.length)]?.host ?? '', { service: 's', workspace: nameOf(number), authority: 'a.example' })
-    fleet.runFor(2_000 * fleet.random.unit() / whole)
+    fleet.runFor(2_000 * fleet.random.unit() / totalDemand)
   }
   fleet.runFor(3_000)
   const refused = entry.outcomes.filter(row => row.reason === 'over-rate')
@@ -49,10 +49,10 @@
   t.ok(refused.length <= entry.sent * 0.005, `${refused.length} of ${entry.sent} refused: ${byWorkspace.join(', ')}`)
   const waits = entry.outcomes.filter(row => row.kind === 'served').map(row => row.endedAt - row.sentAt - 20).sort((a, b) => a - b)
   const p95 = waits[Math.floor(waits.length * 0.95)] ?? 0
-  t.ok(p95 <= 2 * REGION_MS + 10, `95 in 100 wait no longer than a trip to another region and back: ${p95} ms`)
+  t.ok(p95 <= 2 * REGION_DELAY_MS + 10, `the 95th percentile of the wait is at most a round trip to another region: ${p95} ms`)
 })
 
-t.test('the parts of all hosts are the whole, whatever the rate', async t => {
+t.test('the shares of all hosts add up to the whole limit at any rate', async t => {
   const fleet = new VirtualFleet(6)
   const entry = new VirtualEntry(fleet, places, new ConfigurationBuilder().run({ kind: 'put-plan', plan }).snapshot())
   fleet.runFor(8_000)
@@ -60,9 +60,9 @@
   const parts = new AllowanceParts()
   const holders: Record<string, number> = {}
   for (const rate of [1, 40, 100, 1_000]) {
-    const all = places.map(place => parts.partOf(tables, { workspace: toId(nameOf(0)), rate }, toId(place.host)))
-    t.equal(Math.round(all.reduce((sum, part) => sum + part, 0) * 1e6), 1e6)
-    holders[rate] = all.filter(part => part > 0).length
+    const shares = places.map(place => parts.partOf(tables, { workspace: toId(nameOf(0)), rate }, toId(place.host)))
+    t.equal(Math.round(shares.reduce((sum, part) => sum + part, 0) * 1e6), 1e6)
+    holders[rate] = shares.filter(part => part > 0).length
   }
   t.matchSnapshot(holders, 'holders by rate')
 })
--- a/src/idempotency/atMostOnce.spec.ts
+++ b/src/idempotency/atMostOnce.spec.ts
@@ -34,7 +34,7 @@
 
 const ticket = (zone: string, number: number): string => `${zone}.1700000000000.abcdefgh${number}`
 
-t.test('a resend elsewhere of a finished request gets the first answer', async t => {
+t.test('replays the first answer to a resend through another host', async t => {
   const { fleet, entry } = build(1, () => new RendezvousRecords())
   deposit(entry, 'n1-1', 'k1')
   fleet.runFor(500)
@@ -46,7 +46,7 @@
   t.same([...entry.runs.values()], [1])
 })
 
-t.test('the baseline without records runs the resend again', async t => {
+t.test('without records, a resend through another host runs again', async t => {
   const { fleet, entry } = build(1, () => new NoRecords())
   deposit(entry, 'n1-1', 'k1')
   fleet.runFor(500)
@@ -55,7 +55,7 @@
   t.equal(countDuplicateRuns(entry.runs), 1)
 })
 
-t.test('a resend while the first still runs, and after its entry host has died', async t => {
+t.test('refuses a resend while the first request runs and after its entry host has died', async t => {
   const { fleet, entry } = build(2, () => new RendezvousRecords())
   for (const server of entry.servers.values()) server.workMs = 2_000
   deposit(entry, 'n1-1', 'k1')
@@ -67,11 +67,11 @@
   fleet.runFor(30_000)
   deposit(entry, 'm1-1', 'k1')
   fleet.runFor(2_000)
-  t.matchSnapshot(describe(entry.outcomes), 'first not run and may come back, then not run with the earlier outcome unknown')
+  t.matchSnapshot(describe(entry.outcomes), 'first already running, then the earlier outcome is unknown')
   t.same([...entry.runs.values()], [1])
 })
 
-t.test('a request that was refused before it ran may be sent again under its key', async t => {
+t.test('a request that was refused before it ran may be resent under its key', async t => {
   const { fleet, entry } = build(3, () => new RendezvousRecords())
   for (const server of entry.servers.values()) server.isDown = true
   deposit(entry, 'n1-1', 'k1')
@@ -84,7 +84,7 @@
   t.same([...entry.runs.values()], [1])
 })
 
-t.test('a home that has restarted does not vouch for what it may have forgotten', async t => {
+t.test('restarted record hosts abstain on keys whose record they may have lost', async t => {
   const { fleet, entry } = build(4, () => new RendezvousRecords())
   deposit(entry, 'n1-1', ticket('n1', 1), 'a', 0)
   fleet.runFor(1_000)
@@ -109,7 +109,7 @@
   t.matchSnapshot(describe(entry.outcomes))
 })
 
-t.test('price of the record: none, in the zone of the ticket, and over three zones', async t => {
+t.test('latency of the claim: no record, records in the zone of the ticket, and records in three zones', async t => {
   const latency = (placement: () => RecordPlacement, key: (n: number) => string): number => {
     const { fleet, entry } = build(6, placement)
     for (let n = 0; n < 50; n += 1) {
@@ -132,19 +132,19 @@
   pause: fc.integer({ min: 20, max: 800 })
 }), { minLength: 5, maxLength: 25 })
 
-t.test('kills, cuts, freezes and resends elsewhere never run a deposit twice', async t => {
+t.test('never runs a deposit twice under restarts, partitions, pauses and resends through other hosts', async t => {
   const property = fc.property(fc.nat(1_000_000), plan, fc.constantFrom({ loss: 0, doubled: 0, jitter: 0 }, { loss: 0.1, doubled: 0.2, jitter: 100 }), (seed, steps, network) => {
     const { fleet, entry } = build(seed, () => new RendezvousRecords(), 20_000)
     Object.assign(fleet.network, network)
     const cut = new Set<string>()
     fleet.network.isCut = (from, to) => cut.has(from) !== cut.has(to)
-    const bornAt = fleet.now
+    const startedAt = fleet.now
     for (let n = 0; n < 60; n += 1) {
       const key = n % 2 === 0 ? ticket(ZONES[n % 6] ?? 'n1', n) : `plain-${n}`
       for (let copy = 0; copy < 4; copy += 1) {
         const host = places[(n * 7 + copy * 11) % places.length]?.host ?? ''
         const sentAt = 50 + n * 90
-        fleet.schedule(sentAt + copy * 700, () => { deposit(entry, host, key, 'a', n % 2 === 0 ? fleet.now - bornAt - sentAt : undefined) })
+        fleet.schedule(sentAt + copy * 700, () => { deposit(entry, host, key, 'a', n % 2 === 0 ? fleet.now - startedAt - sentAt : undefined) })
       }
     }
     for (const step of steps) {
--- a/src/idempotency/claimSystem.ts
+++ b/src/idempotency/claimSystem.ts
@@ -1,4 +1,4 @@
-/** Claims each non-idempotent request at a majority of its key's homes before it may be queued. */
+/** Claims the idempotency key of each non-idempotent request at a majority of the key's record hosts before the request is queued. */
 
 import type { HostId } from '../core/id.js'
 import { NEVER } from '../core/tick.js'
@@ -13,41 +13,39 @@
 import type { RecordHostTables } from './recordKeeping.js'
 import type { AnswerReplayed, ClaimEnd, ClaimRow, ClaimVote, RecordMessage } from './types.js'
 
-/** How long homes may take to vote. */
+/** How long to wait for the votes of the record hosts. */
 export const CLAIM_TIMEOUT_MS: Millis = 1_000
 
-/** Tables that claims work on. */
 export type ClaimTables = RecordHostTables & ExchangeTables & { readonly configuration: Configuration }
 type ClaimInput = MessageReceived<RecordMessage> | { readonly kind: 'other' }
 type ClaimOutput = MessageSent<RecordMessage> | Refused | AnswerReplayed
-/** One tick as seen by claims. */
 export type ClaimTick = Tick<ClaimTables, ClaimInput, ClaimOutput>
 
-/** Whether an exchange must be claimed before it runs. */
+/** Whether an exchange must claim its idempotency key before it runs. */
 export const needsClaim = (exchange: ExchangeRow): boolean =>
   !exchange.idempotent && exchange.idempotencyKey !== null && exchange.workspace !== null
 
-/** What ending a claim needs of a tick. */
+/** The subset of a tick that endClaim needs. */
 export interface ClaimEndTick {
   readonly now: Millis
   readonly tables: ClaimTables
   emit (row: MessageSent<RecordMessage>): void
 }
 
-const sendToRecordHost = (tick: ClaimEndTick, home: HostId, message: RecordMessage): void => {
-  const member = tick.tables.members.get(home)?.member
-  if (member !== undefined) tick.emit({ kind: 'send', to: home, address: member.link, message })
+const sendToRecordHost = (tick: ClaimEndTick, host: HostId, message: RecordMessage): void => {
+  const member = tick.tables.members.get(host)?.member
+  if (member !== undefined) tick.emit({ kind: 'send', to: host, address: member.link, message })
 }
 
-/** Tells the homes how an exchange's claim has ended. */
+/** Ends an exchange's claim and sends the outcome to the record hosts. */
 export const endClaim = (tick: ClaimEndTick, exchange: ExchangeRow['exchange'], end: ClaimEnd): void => {
   const claim = tick.tables.claims.get(exchange)
   if (claim === undefined) return
   tick.tables.claims.remove(exchange)
   const message = { kind: 'claim-end', key: claim.key, claim: exchange, end } as const
-  for (const home of claim.recordHosts) {
-    if (home === tick.tables.gossip.self.host) recordClaimEnd(tick.tables, message, tick.now)
-    else sendToRecordHost(tick, home, message)
+  for (const host of claim.recordHosts) {
+    if (host === tick.tables.gossip.self.host) recordClaimEnd(tick.tables, message, tick.now)
+    else sendToRecordHost(tick, host, message)
   }
 }
 
@@ -61,82 +59,81 @@
 
 const DECISIVE_VOTES: ReadonlyArray<ClaimVote['kind']> = ['finished', 'mismatch', 'unknown', 'running']
 
-/** The system of claims and records. */
 export class ClaimSystem implements System<ClaimTables, ClaimInput, ClaimOutput> {
   readonly name = 'claim'
-  #earliest: Millis = NEVER
+  #nextExpiryAt: Millis = NEVER
 
   constructor (readonly placement: RecordPlacement) {}
 
   run (tick: ClaimTick): void {
-    this.#noteHomes(tick)
+    this.#trackEntryHosts(tick)
     for (const row of tick.inbox) {
-      if (row.kind === 'message') this.#takeMessage(tick, row)
+      if (row.kind === 'message') this.#handleMessage(tick, row)
     }
-    for (const exchange of tick.tables.exchanges.group('claiming')) this.#claim(tick, exchange)
-    if (tick.now >= this.#earliest) this.#expire(tick)
+    for (const exchange of tick.tables.exchanges.group('claiming')) this.#startClaim(tick, exchange)
+    if (tick.now >= this.#nextExpiryAt) this.#expireClaims(tick)
   }
 
-  deadline (): Millis { return this.#earliest }
+  deadline (): Millis { return this.#nextExpiryAt }
 
-  // A host that has just become a key's home has not seen the claims before that.
-  #noteHomes (tick: ClaimTick): void {
-    const { entryHostHistory: homeHistory, configuration } = tick.tables
-    if (homeHistory.revision === configuration.entryHosts.revision) return
+  // Records each change of the entry hosts: a host that has just become a record host lacks the earlier claims.
+  #trackEntryHosts (tick: ClaimTick): void {
+    const { entryHostHistory, configuration } = tick.tables
+    if (entryHostHistory.revision === configuration.entryHosts.revision) return
     const hosts = [...configuration.entryHosts.rows()].map(({ host, zone }) => ({ host, zone: zone as string }))
-    if (homeHistory.current.length > 0) homeHistory.changes.push({ at: tick.now, hosts: homeHistory.current })
-    homeHistory.changes = homeHistory.changes.filter(change => tick.now - change.at < RECORD_RETENTION_MS)
-    homeHistory.current = hosts
-    homeHistory.revision = configuration.entryHosts.revision
+    if (entryHostHistory.current.length > 0) entryHostHistory.changes.push({ at: tick.now, hosts: entryHostHistory.current })
+    entryHostHistory.changes = entryHostHistory.changes.filter(change => tick.now - change.at < RECORD_RETENTION_MS)
+    entryHostHistory.current = hosts
+    entryHostHistory.revision = configuration.entryHosts.revision
   }
 
-  #takeMessage (tick: ClaimTick, row: MessageReceived<RecordMessage>): void {
+  #handleMessage (tick: ClaimTick, row: MessageReceived<RecordMessage>): void {
     const { message, from } = row
     if (message.kind === 'claim') {
       expireRecords(tick.tables, tick.now)
       const vote = voteOnClaim(tick.tables, this.placement, from, message, tick.now)
       sendToRecordHost(tick, from, { kind: 'claim-vote', claim: message.claim, vote })
     } else if (message.kind === 'claim-vote') {
-      this.#count(tick, from, message.claim, message.vote)
+      this.#countVote(tick, from, message.claim, message.vote)
     } else if (message.kind === 'claim-end') {
       recordClaimEnd(tick.tables, message, tick.now)
     }
   }
 
-  #claim (tick: ClaimTick, exchange: ExchangeRow): void {
-    const { claims, entryHostHistory: homeHistory, gossip } = tick.tables
+  #startClaim (tick: ClaimTick, exchange: ExchangeRow): void {
+    const { claims, entryHostHistory, gossip } = tick.tables
     if (claims.has(exchange.exchange) || exchange.workspace === null || exchange.idempotencyKey === null) return
     const key = recordKey(exchange.workspace, exchange.idempotencyKey)
-    const homes = this.placement.recordHosts(homeHistory.current, key, exchange.idempotencyKey)
+    const recordHosts = this.placement.recordHosts(entryHostHistory.current, key, exchange.idempotencyKey)
     const deadline = Math.min(exchange.deadline, tick.now + CLAIM_TIMEOUT_MS)
-    claims.put({ exchange: exchange.exchange, key, recordHosts: homes, votes: new Map(), deadline, isGranted: false })
-    this.#earliest = Math.min(this.#earliest, deadline)
+    claims.put({ exchange: exchange.exchange, key, recordHosts, votes: new Map(), deadline, isGranted: false })
+    this.#nextExpiryAt = Math.min(this.#nextExpiryAt, deadline)
     if (exchange.ticketAgeMs !== null && exchange.ticketAgeMs >= RECORD_RETENTION_MS) {
       this.#refuse(tick, exchange, { kind: 'unknown' })
       return
     }
-    if (homes.length === 0) this.#grant(tick, exchange)
+    if (recordHosts.length === 0) this.#grant(tick, exchange)
     const message = { kind: 'claim', key, fingerprint: exchange.fingerprint, claim: exchange.exchange, ownerEpoch: gossip.self.epoch, ticketAgeMs: exchange.ticketAgeMs } as const
-    for (const home of homes) {
-      if (home !== gossip.self.host) sendToRecordHost(tick, home, message)
-      else this.#count(tick, home, exchange.exchange, voteOnClaim(tick.tables, this.placement, home, message, tick.now))
+    for (const host of recordHosts) {
+      if (host !== gossip.self.host) sendToRecordHost(tick, host, message)
+      else this.#countVote(tick, host, exchange.exchange, voteOnClaim(tick.tables, this.placement, host, message, tick.now))
     }
   }
 
-  #count (tick: ClaimTick, from: HostId, id: ClaimRow['exchange'], vote: ClaimVote): void {
+  #countVote (tick: ClaimTick, from: HostId, id: ClaimRow['exchange'], vote: ClaimVote): void {
     const claim = tick.tables.claims.get(id)
     const exchange = tick.tables.exchanges.get(id)
     if (claim === undefined || claim.isGranted || exchange?.phase !== 'claiming' || !claim.recordHosts.includes(from)) return
     claim.votes.set(from, vote)
     const votes = [...claim.votes.values()]
     for (const kind of DECISIVE_VOTES) {
-      const decisive = votes.find(one => one.kind === kind)
+      const decisive = votes.find(candidate => candidate.kind === kind)
       if (decisive === undefined) continue
       if (decisive.kind === 'finished' && decisive.answer !== null) this.#replay(tick, exchange, decisive.answer)
       else this.#refuse(tick, exchange, decisive)
       return
     }
-    const granted = votes.filter(one => one.kind === 'granted').length
+    const granted = votes.filter(candidate => candidate.kind === 'granted').length
     const needed = majorityCount(claim.recordHosts)
     if (granted >= needed) this.#grant(tick, exchange)
     else if (votes.length - granted > claim.recordHosts.length - needed) this.#refuse(tick, exchange, { kind: 'unknown' })
@@ -161,12 +158,12 @@
     tick.emit({ kind: 'replay-answer', exchange: exchange.exchange, answer })
   }
 
-  #expire (tick: ClaimTick): void {
-    this.#earliest = NEVER
+  #expireClaims (tick: ClaimTick): void {
+    this.#nextExpiryAt = NEVER
     for (const exchange of tick.tables.exchanges.group('claiming')) {
       const deadline = tick.tables.claims.get(exchange.exchange)?.deadline ?? tick.now
       if (deadline <= tick.now) this.#refuse(tick, exchange, { kind: 'unknown' })
-      else this.#earliest = Math.min(this.#earliest, deadline)
+      else this.#nextExpiryAt = Math.min(this.#nextExpiryAt, deadline)
     }
   }
 }
--- a/src/idempotency/recordKeeping.ts
+++ b/src/idempotency/recordKeeping.ts
@@ -1,4 +1,4 @@
-/** What a home does with claims and with their ends. */
+/** Votes on claims and stores their outcomes at a record host. */
 
 import type { HostId } from '../core/id.js'
 import type { Millis } from '../core/tick.js'
@@ -6,27 +6,27 @@
 import type { RecordPlacement } from './recordPlacement.js'
 import type { ClaimVote, RecordMessage, RecordRow, RecordTables } from './types.js'
 
-/** How long a record is kept, and a resend gets the first answer. */
+/** How long a record is kept, and so how long a resend gets the first answer. */
 export const RECORD_RETENTION_MS: Millis = 900_000
-/** Bound on the difference of two hosts' wall clocks, for the issue times of tickets. */
+/** Bound on the difference between two hosts' wall clocks, which applies to the issue times of tickets. */
 export const MAX_CLOCK_SKEW_MS: Millis = 2_000
 
-/** Tables that homes work on. */
 export type RecordHostTables = RecordTables & Pick<MembershipTables, 'gossip' | 'members'>
 type Claim = Extract<RecordMessage, { kind: 'claim' }>
 
-// A host tells "never seen" from "forgotten" by when it started and since when it has been this key's home.
+// Whether an earlier record of the key may exist that this host lacks. Its records are complete only since it started and
+// since it became a record host of the key; a ticket issued after that cannot have an earlier record.
 const mayLackRecord = (tables: RecordHostTables, placement: RecordPlacement, claim: Claim, now: Millis): boolean => {
   const { startedAt, changes } = tables.entryHostHistory
   const self = tables.gossip.self.host
   const idempotencyKey = claim.key.slice(claim.key.indexOf('/') + 1)
-  let blankSince = startedAt
+  let completeSince = startedAt
   for (const change of changes) {
-    if (!placement.recordHosts(change.hosts, claim.key, idempotencyKey).includes(self)) blankSince = Math.max(blankSince, change.at)
+    if (!placement.recordHosts(change.hosts, claim.key, idempotencyKey).includes(self)) completeSince = Math.max(completeSince, change.at)
   }
-  if (now - blankSince >= RECORD_RETENTION_MS) return false
-  const isIssuedSince = claim.ticketAgeMs !== null && claim.ticketAgeMs + MAX_CLOCK_SKEW_MS < now - blankSince
-  return !isIssuedSince
+  if (now - completeSince >= RECORD_RETENTION_MS) return false
+  const isTicketNewer = claim.ticketAgeMs !== null && claim.ticketAgeMs + MAX_CLOCK_SKEW_MS < now - completeSince
+  return !isTicketNewer
 }
 
 const isOwnerAlive = (tables: RecordHostTables, record: RecordRow): boolean => {
@@ -45,7 +45,7 @@
   }
 }
 
-/** Votes on a claim and records it when the vote is a grant. */
+/** Votes on a claim and stores a record when the vote grants it. */
 export const voteOnClaim = (tables: RecordHostTables, placement: RecordPlacement, from: HostId, claim: Claim, now: Millis): ClaimVote => {
   const record = tables.records.get(claim.key)
   if (record === undefined && mayLackRecord(tables, placement, claim, now)) return { kind: 'abstained' }
@@ -65,7 +65,7 @@
   return vote
 }
 
-/** Notes how a claim ended; an end of another claim changes nothing. */
+/** Stores the outcome of a claim. Ignores the outcome of any claim other than the recorded one. */
 export const recordClaimEnd = (tables: RecordHostTables, message: Extract<RecordMessage, { kind: 'claim-end' }>, now: Millis): void => {
   const record = tables.records.get(message.key)
   if (record === undefined || record.claim !== message.claim || record.state !== 'running') return
@@ -76,7 +76,7 @@
   tables.records.put(record)
 }
 
-/** Forgets records whose time is over; they lie in the order of their expiry. */
+/** Removes expired records. The table is in the order of expiry. */
 export const expireRecords = (tables: RecordTables, now: Millis): void => {
   for (let oldest = tables.records.first(); oldest !== undefined && oldest.expiresAt <= now; oldest = tables.records.first()) {
     tables.records.remove(oldest.key)
--- a/src/idempotency/types.ts
+++ b/src/idempotency/types.ts
@@ -1,24 +1,24 @@
-/** At most once: a record of each non-idempotent request exists on several hosts before the request goes out. */
+/** Tables and messages for at-most-once execution: several hosts record a non-idempotent request before it is sent to a backend server. */
 
 import type { ExchangeId, HostId, Id } from '../core/id.js'
 import type { RowTable } from '../core/table.js'
 import type { Millis } from '../core/tick.js'
 
-/** A workspace's idempotency key, unique in the fleet. */
+/** An idempotency key qualified by its workspace, unique in the fleet. */
 export type RecordKey = Id<'Record'>
 
-/** A finished answer that a resend gets again, whole. */
+/** The complete answer to a finished request, which is replayed to a resend. */
 export interface RecordedAnswer {
   readonly status: number
   readonly headers: Readonly<Record<string, string | string[]>>
   readonly body: Uint8Array
 }
 
-/** What a home holds about one key. */
+/** The record of one key at a record host. */
 export interface RecordRow {
   readonly key: RecordKey
   readonly fingerprint: string
-  /** The exchange that was allowed to run, with the life of its entry host. */
+  /** The exchange that was granted the claim. Its owner is an entry host, identified together with its epoch. */
   claim: ExchangeId
   owner: HostId
   ownerEpoch: number
@@ -27,30 +27,30 @@
   expiresAt: Millis
 }
 
-/** What a home says to a claim. */
+/** The vote of a record host on a claim. */
 export type ClaimVote =
   | { readonly kind: 'granted' }
-  /** The home may have forgotten this key: it has started, or become a home, too recently. */
+  /** The record host started, or became a record host of the key, too recently to exclude an earlier record. */
   | { readonly kind: 'abstained' }
   | { readonly kind: 'running' }
   | { readonly kind: 'unknown' }
   | { readonly kind: 'mismatch' }
   | { readonly kind: 'finished', readonly answer: RecordedAnswer | null }
 
-/** How a claim ended. */
+/** The outcome of a claim. */
 export type ClaimEnd =
   | { readonly kind: 'finished', readonly answer: RecordedAnswer | null }
   | { readonly kind: 'unknown' }
-  /** The request certainly did not run; the key may be claimed again. */
+  /** The request did not run, and the key may be claimed again. */
   | { readonly kind: 'released' }
 
-/** Messages between entry hosts about records. */
+/** Messages between entry hosts and record hosts. */
 export type RecordMessage =
   | { readonly kind: 'claim', readonly key: RecordKey, readonly fingerprint: string, readonly claim: ExchangeId, readonly ownerEpoch: number, readonly ticketAgeMs: Millis | null }
   | { readonly kind: 'claim-vote', readonly claim: ExchangeId, readonly vote: ClaimVote }
   | { readonly kind: 'claim-end', readonly key: RecordKey, readonly claim: ExchangeId, readonly end: ClaimEnd }
 
-/** A claim of an exchange on this host. */
+/** The claim of an exchange on this host. */
 export interface ClaimRow {
   readonly exchange: ExchangeId
   readonly key: RecordKey
@@ -60,10 +60,9 @@
   isGranted: boolean
 }
 
-/** When the set of entry hosts changed, and what it was before. */
+/** A change of the set of entry hosts: the time and the previous set. */
 export interface EntryHostsChange { readonly at: Millis, readonly hosts: ReadonlyArray<{ readonly host: HostId, readonly zone: string }> }
 
-/** Tables of records. */
 export interface RecordTables {
   readonly records: RowTable<RecordKey, RecordRow>
   readonly claims: RowTable<ExchangeId, ClaimRow>
@@ -71,10 +70,10 @@
     readonly startedAt: Millis
     current: EntryHostsChange['hosts']
     changes: EntryHostsChange[]
-    /** Size and index of the configuration that `current` was read from. */
+    /** Revision of the entry host table that `current` was read from. */
     revision: number
   }
 }
 
-/** Gives a resend the first answer again. */
+/** Replays the recorded answer to a resend. */
 export interface AnswerReplayed { readonly kind: 'replay-answer', readonly exchange: ExchangeId, readonly answer: RecordedAnswer }
--- a/src/key-check/keyCheck.ts
+++ b/src/key-check/keyCheck.ts
@@ -1,4 +1,4 @@
-/** Decides whether a key admits a request; asked for each request, never once for a connection. */
+/** Checks the API key of a request. The check runs for each request, not once per connection. */
 
 import { createHash } from 'node:crypto'
 import { fail, ok } from '../core/outcome.js'
@@ -12,22 +12,21 @@
 import type { MembershipTables } from '../membership/types.js'
 import type { KeyError, KeyTables } from './types.js'
 
-/** The digest under which a key is stored and compared; a look-up by digest leaks no timing about the key. */
+/** Returns the digest under which a key is stored and compared. A look-up by digest leaks no timing information about the key. */
 export const digestKey = (key: string): KeyDigest => toId(createHash('sha256').update(key).digest('hex'))
 
-/** Tables that the check reads. */
 export type KeyCheckTables = KeyTables & Pick<MembershipTables, 'gossip'> & { readonly configuration: Configuration }
 
 const checkFreshness = (tables: KeyCheckTables, terms: ProfileTerms, now: Millis): KeyError | null => {
   const confirmedAt = tables.gossip.confirmedAt
-  // An empty table after a start is not "no withdrawals": a peer must first vouch for the index held here.
+  // After a start, an empty table does not mean that no key is withdrawn: a peer must first confirm that the configuration is current.
   if (confirmedAt === null) return { kind: 'configuration-not-loaded' }
   const ageMs = now - confirmedAt
   if (terms.whenCutOff === 'refuse' && ageMs > terms.staleAfterMs) return { kind: 'configuration-stale', ageMs }
   return null
 }
 
-/** Finds the workspace that a key belongs to. */
+/** Returns the workspace that a key belongs to, or why the key does not admit the request. */
 export const checkKey = (tables: KeyCheckTables, digest: KeyDigest | null, terms: ProfileTerms, now: Millis): Outcome<Workspace, KeyError> => {
   if (digest === null) return fail({ kind: 'key-missing' })
   const staleness = checkFreshness(tables, terms, now)
--- a/src/key-check/types.ts
+++ b/src/key-check/types.ts
@@ -1,17 +1,17 @@
-/** Keys that are no longer good. */
+/** Tables of withdrawn API keys and errors of the key check. */
 
 import type { KeyDigest } from '../core/id.js'
 import type { RowTable } from '../core/table.js'
 
-/** A withdrawn key; withdrawals only ever add up. */
+/** A withdrawn key. Withdrawals are never undone. */
 export interface Withdrawal { readonly digest: KeyDigest }
 
-/** Tables of keys beside the configuration: withdrawals travel by every path and need no quorum. */
+/** Withdrawals, kept apart from the configuration because they spread by gossip and need no quorum. */
 export interface KeyTables {
   readonly withdrawals: RowTable<KeyDigest, Withdrawal>
 }
 
-/** Why a request's key does not admit it. */
+/** Why the key of a request does not admit it. */
 export type KeyError =
   | { readonly kind: 'key-missing' }
   | { readonly kind: 'key-unknown' }
--- a/src/key-check/withdrawalTopic.ts
+++ b/src/key-check/withdrawalTopic.ts
@@ -1,8 +1,7 @@
-/** Rumors about withdrawn keys. */
+/** The gossip topic of withdrawn API keys. */
 
 import type { RumorTopic } from '../membership/rumorTopic.js'
 
-/** The topic of withdrawals. */
 export const withdrawalTopic: RumorTopic<'withdrawal'> = {
   key: rumor => `withdrawal/${rumor.digest}`,
   version: () => '',
--- a/src/lookup/blockTable.ts
+++ b/src/lookup/blockTable.ts
@@ -1,4 +1,4 @@
-/** Client blocks in typed columns: at 570,000 blocks a row object each would not fit the memory that control may use. */
+/** Client blocks in typed arrays. With one object per row, a table of 570,000 blocks would exceed the memory that the process may use. */
 
 import { fail, ok } from '../core/outcome.js'
 import type { Outcome } from '../core/outcome.js'
@@ -6,17 +6,17 @@
 
 /** A block of client addresses and the site that serves it. */
 export interface ClientBlock {
-  /** First address as a number. */
+  /** First IPv4 address of the block, as a number. */
   readonly start: number
-  /** Length of the prefix in bits, 0 to 32. */
+  /** Prefix length in bits, 0 to 32. */
   readonly prefix: number
   readonly site: SiteId
 }
 
-/** Why a line does not name a block. */
+/** A line that is not a valid block. */
 export interface BlockError { readonly kind: 'block-malformed', readonly text: string }
 
-/** Reads a dotted IPv4 address; null when the text is none. */
+/** Parses an IPv4 address in dotted notation, also one mapped to IPv6. Returns null for any other text. */
 export const parseIpv4Address = (text: string): number | null => {
   const match = /^(?:::ffff:)?(\d{1,3})\.(\d{1,3})\.(\d{1,3})\.(\d{1,3})$/.exec(text)
   if (match === null) return null
@@ -31,7 +31,7 @@
 
 const blockSize = (prefix: number): number => 2 ** (32 - prefix)
 
-/** Reads one line "ADDRESS/PREFIX SITE". */
+/** Parses one line `ADDRESS/PREFIX SITE`. Rejects an address that is not aligned to its prefix. */
 export const parseBlock = (text: string): Outcome<ClientBlock, BlockError> => {
   const match = /^(\S+)\/(\d{1,2})[\s,]+(\S+)$/.exec(text.trim())
   const start = match === null ? null : parseIpv4Address(match[1] ?? '')
@@ -44,32 +44,32 @@
 
 interface Boundary { readonly at: number, readonly site: number }
 
-// Nested blocks become disjoint runs: each boundary carries the innermost block that covers it.
+// Converts nested blocks into disjoint ranges. Each boundary starts a range and holds the site of the innermost block that covers it.
 const flattenBlocks = (blocks: readonly ClientBlock[], siteNumber: (site: SiteId) => number): Boundary[] => {
   const sorted = [...blocks].sort((a, b) => a.start - b.start || a.prefix - b.prefix)
   const boundaries: Boundary[] = []
-  const open: Array<{ end: number, site: number }> = []
-  const add = (at: number, site: number): void => {
+  const enclosing: Array<{ end: number, site: number }> = []
+  const addBoundary = (at: number, site: number): void => {
     if (boundaries.at(-1)?.at === at) boundaries.pop()
     if (boundaries.at(-1)?.site !== site) boundaries.push({ at, site })
   }
-  const closeUntil = (limit: number): void => {
-    for (let top = open.at(-1); top !== undefined && top.end <= limit; top = open.at(-1)) {
-      open.pop()
-      add(top.end, open.at(-1)?.site ?? NO_SITE)
+  const closeBlocksUntil = (limit: number): void => {
+    for (let innermost = enclosing.at(-1); innermost !== undefined && innermost.end <= limit; innermost = enclosing.at(-1)) {
+      enclosing.pop()
+      addBoundary(innermost.end, enclosing.at(-1)?.site ?? NO_SITE)
     }
   }
   for (const block of sorted) {
-    closeUntil(block.start)
+    closeBlocksUntil(block.start)
     const site = siteNumber(block.site)
-    add(block.start, site)
-    open.push({ end: block.start + blockSize(block.prefix), site })
+    addBoundary(block.start, site)
+    enclosing.push({ end: block.start + blockSize(block.prefix), site })
   }
-  closeUntil(2 ** 32)
+  closeBlocksUntil(2 ** 32)
   return boundaries
 }
 
-/** A read-only table from client address to site: sorted starts with binary search. */
+/** A read-only map from client address to site: sorted range starts and a binary search. */
 export class BlockTable {
   readonly #starts: Uint32Array
   readonly #sites: Uint16Array
@@ -78,25 +78,25 @@
   constructor (blocks: readonly ClientBlock[]) {
     const numbers = new Map<SiteId, number>()
     const siteNumber = (site: SiteId): number => {
-      let number = numbers.get(site)
-      if (number === undefined) {
-        number = this.#names.push(site) - 1
-        numbers.set(site, number)
+      let index = numbers.get(site)
+      if (index === undefined) {
+        index = this.#names.push(site) - 1
+        numbers.set(site, index)
       }
-      return number
+      return index
     }
     const boundaries = flattenBlocks(blocks, siteNumber).filter(boundary => boundary.at < 2 ** 32)
     this.#starts = Uint32Array.from(boundaries, boundary => boundary.at)
     this.#sites = Uint16Array.from(boundaries, boundary => boundary.site)
   }
 
-  /** Number of disjoint runs of addresses. */
+  /** Number of disjoint address ranges. */
   get size (): number { return this.#starts.length }
 
-  /** Bytes of the columns. */
+  /** Size of the typed arrays, in bytes. */
   get bytes (): number { return this.#starts.byteLength + this.#sites.byteLength }
 
-  /** The site of an address; null when no block covers it. */
+  /** Returns the site of an address, or null when no block covers it. */
   siteOf (address: number): SiteId | null {
     let low = 0
     let high = this.#starts.length
--- a/src/lookup/locate.spec.ts
+++ b/src/lookup/locate.spec.ts
@@ -12,21 +12,21 @@
   { host: 's1-1', zone: 's1', region: 's' }
 ]
 
-t.test('callers of zones with many and with few entry hosts load all hosts of a region about alike', async t => {
+t.test('balances look-ups by place over the hosts of a region whose zones differ in size', async t => {
   const fleet = new VirtualFleet(3)
   const entry = new VirtualEntry(fleet, places, new ConfigurationBuilder().profile(ordinaryTerms).service('s').hosts(places).snapshot())
   fleet.runFor(6_000)
   const random = new SeededRandom(8)
   const load = new Map<string, number>()
-  const look = (region: string, zone: string): string[] => answerLookup(entry.tables('n2-1'), random, { kind: 'lookup', lookup: toId('l'), service: null, client: null, place: { region: toId(region), zone: toId(zone) } }, 0).hosts.map(host => host.host)
+  const lookUp = (region: string, zone: string): string[] => answerLookup(entry.tables('n2-1'), random, { kind: 'lookup', lookup: toId('l'), service: null, client: null, place: { region: toId(region), zone: toId(zone) } }, 0).hosts.map(host => host.host)
   for (let count = 0; count < 400; count += 1) {
     for (const zone of ['n1', 'n2']) {
-      const hosts = look('n', zone)
+      const hosts = lookUp('n', zone)
       for (const host of hosts) load.set(host, (load.get(host) ?? 0) + 1 / hosts.length)
     }
   }
   const shares = places.filter(place => place.region === 'n').map(place => (load.get(place.host) ?? 0) / 800)
   t.ok(Math.max(...shares) <= 2 * Math.min(...shares), `shares from ${Math.min(...shares).toFixed(3)} to ${Math.max(...shares).toFixed(3)}`)
-  t.same(look('s', 's1'), ['s1-1'])
-  t.equal(look('elsewhere', 'x').length, places.length, 'without hosts in the region all are named')
+  t.same(lookUp('s', 's1'), ['s1-1'])
+  t.equal(lookUp('elsewhere', 'x').length, places.length, 'answers with all hosts when the region has none')
 })
--- a/src/lookup/lookupSystem.ts
+++ b/src/lookup/lookupSystem.ts
@@ -1,4 +1,4 @@
-/** Answers look-ups from a ranking of entry hosts for each service and site. */
+/** Answers look-ups. Entry hosts are ranked by distance for each service and site. */
 
 import type { RegionId, ServiceId, SiteId } from '../core/id.js'
 import type { Random } from '../core/random.js'
@@ -14,17 +14,16 @@
 import { isServingEntry } from '../membership/entryHosts.js'
 import type { LookupAnswered, LookupError, LookupReceived, Place, RankedHost, SiteLocation } from './types.js'
 
-/** Entry hosts in one answer. */
+/** Maximum number of entry hosts in an answer by service. */
 export const MAX_ANSWER_HOSTS = 4
-/** How long a caller may use an answer; a stopping host goes on serving for this long. */
+/** How long a caller may cache an answer. A stopping host keeps serving for at least this long. */
 export const ANSWER_TTL_MS: Millis = 2_000
 
-/** Entry hosts in an answer by place. */
+/** Maximum number of entry hosts in an answer by place. */
 export const MAX_PLACE_ANSWER_HOSTS = 64
-/** How long an answer by place may be used; some callers go on for three times as long. */
+/** How long a caller may cache an answer by place. Some callers use it for three times as long. */
 export const PLACE_ANSWER_TTL_MS: Millis = 1_000
 
-/** Tables that look-ups read. */
 export interface LookupTables extends Pick<MembershipTables, 'members' | 'gossip'>, ShiftTables {
   readonly configuration: Configuration
   readonly blocks: BlockTable
@@ -33,47 +32,47 @@
 
 type LookupInput = LookupReceived | { readonly kind: 'other' }
 
-/** Entry hosts of the client's region in tiers of equal distance, nearest first, and those of other regions. */
+/** Entry hosts of the client's region in tiers of equal distance, nearest first, and the allowed entry hosts of other regions. */
 interface Ranking {
   readonly nearTiers: ReadonlyArray<readonly RankedHost[]>
   readonly farHosts: readonly RankedHost[]
   readonly farTiers: ReadonlyArray<readonly RankedHost[]>
 }
 
-const distanceTier = (member: Member, near: SiteLocation): number => {
-  if (member.site === near.site && member.zone === near.zone) return 0
-  return member.zone === near.zone ? 1 : 2
+const distanceTier = (member: Member, origin: SiteLocation): number => {
+  if (member.site === origin.site && member.zone === origin.zone) return 0
+  return member.zone === origin.zone ? 1 : 2
 }
 
 const NEAR_TIER_COUNT = 3
 
-const rankHosts = (members: Iterable<{ member: Member }>, near: SiteLocation, allowed: readonly RegionId[]): Ranking => {
+const rankHosts = (members: Iterable<{ member: Member }>, origin: SiteLocation, allowedRegions: readonly RegionId[]): Ranking => {
   const tiers: RankedHost[][] = Array.from({ length: NEAR_TIER_COUNT }, () => [])
-  const far: RankedHost[] = []
+  const farHosts: RankedHost[] = []
   for (const { member } of members) {
     if (member.role !== 'entry' || member.callers === null || member.state !== 'alive') continue
     const ranked: RankedHost = { host: member.host, region: member.region, zone: member.zone, callers: member.callers }
-    if (member.region === near.region) tiers[distanceTier(member, near)]?.push(ranked)
-    else if (allowed.length === 0 || allowed.includes(member.region)) far.push(ranked)
+    if (member.region === origin.region) tiers[distanceTier(member, origin)]?.push(ranked)
+    else if (allowedRegions.length === 0 || allowedRegions.includes(member.region)) farHosts.push(ranked)
   }
-  return { nearTiers: tiers.filter(tier => tier.length > 0), farHosts: far, farTiers: [far] }
+  return { nearTiers: tiers.filter(tier => tier.length > 0), farHosts, farTiers: [farHosts] }
 }
 
-/** What look-ups need of one service. */
+/** The terms and rankings of one service. */
 interface ServiceRankings {
   readonly terms: ProfileTerms
-  /** The name of its look-ups in the shift accounts. */
+  /** Subject of the shift account that counts the service's look-ups. */
   readonly subject: string
   readonly bySite: Map<SiteId, Ranking>
 }
 
-/** Rankings by service and site, dropped when members or configuration change. */
+/** Caches rankings by service and site until the membership or the configuration changes. */
 export class RankingCache {
   #members = -1
   #index = -1
   readonly #byService = new Map<ServiceId, ServiceRankings>()
 
-  /** What is known of a service; null when it has no approved terms. */
+  /** Returns the rankings of a service, or null when the service has no approved terms. */
   service (tables: LookupTables, service: ServiceId): ServiceRankings | null {
     const { members, configuration } = tables
     if (members.revision !== this.#members || configuration.index !== this.#index) {
@@ -81,28 +80,28 @@
       this.#members = members.revision
       this.#index = configuration.index
     }
-    const known = this.#byService.get(service)
-    if (known !== undefined) return known
+    const cached = this.#byService.get(service)
+    if (cached !== undefined) return cached
     const terms = findApprovedTerms(configuration, service)
     if (terms === null) return null
-    const made: ServiceRankings = { terms, subject: `lookup/${service}`, bySite: new Map() }
-    this.#byService.set(service, made)
-    return made
+    const created: ServiceRankings = { terms, subject: `lookup/${service}`, bySite: new Map() }
+    this.#byService.set(service, created)
+    return created
   }
 
-  /** The ranking for clients of a site; without a site, for those that stand where this host stands. */
+  /** Returns the ranking for clients of a site. Uses this host's own site when the client's is unknown. */
   ranking (tables: LookupTables, rankings: ServiceRankings, site: SiteId | null): Ranking {
-    const near = site ?? tables.gossip.self.site
-    let ranking = rankings.bySite.get(near)
+    const originSite = site ?? tables.gossip.self.site
+    let ranking = rankings.bySite.get(originSite)
     if (ranking === undefined) {
-      ranking = rankHosts(tables.members.rows(), findSiteLocation(tables, near), rankings.terms.allowedRegions)
-      rankings.bySite.set(near, ranking)
+      ranking = rankHosts(tables.members.rows(), findSiteLocation(tables, originSite), rankings.terms.allowedRegions)
+      rankings.bySite.set(originSite, ranking)
     }
     return ranking
   }
 }
 
-// A site without entry hosts of its own is served as if the client stood where this host stands.
+// Returns the location of a site. Falls back to this host's location for a site without entry hosts.
 const findSiteLocation = (tables: LookupTables, site: SiteId): SiteLocation => {
   for (const row of tables.configuration.entryHosts.rows()) {
     if (row.site === site) return row
@@ -110,7 +109,7 @@
   return tables.gossip.self
 }
 
-// Each tier starts at a random host so that callers spread over equals.
+// Starts each tier at a random host, to balance callers over hosts at the same distance.
 const chooseHosts = (tiers: ReadonlyArray<readonly RankedHost[]>, random: Random): RankedHost[] => {
   const chosen: RankedHost[] = []
   for (const tier of tiers) {
@@ -124,79 +123,78 @@
   return chosen
 }
 
-/** Entry hosts for a service near this host, without asking for a shift. */
+/** Returns entry hosts in this host's region for a service. Does not count towards a shift. */
 export const nearEntryHosts = (tables: LookupTables, random: Random, service: ServiceId): RankedHost[] => {
   const rankings = tables.rankings.service(tables, service)
   return rankings === null ? [] : chooseHosts(tables.rankings.ranking(tables, rankings, null).nearTiers, random)
 }
 
-// Sending callers to another region is a shift too, and so is calling them back.
+// Sending callers to another region is a shift, and so is returning them. Both are limited by the shift cap.
 const selectTiers = (tables: LookupTables, rankings: ServiceRankings, ranking: Ranking, now: Millis): ReadonlyArray<readonly RankedHost[]> | LookupError => {
-  const { nearTiers: near, farHosts: far, farTiers: farTier } = ranking
-  if (near.length === 0 && far.length === 0) return { kind: 'no-entry-host' }
+  const { nearTiers, farHosts, farTiers } = ranking
+  if (nearTiers.length === 0 && farHosts.length === 0) return { kind: 'no-entry-host' }
   const account = findShift(tables, rankings.subject, rankings.terms.shiftWindowMs, now)
   account.total += 1
   const { isHomeOpen, isAwayOpen } = openWays(account, rankings.terms)
-  if (near.length > 0 && (isHomeOpen || far.length === 0)) {
+  if (nearTiers.length > 0 && (isHomeOpen || farHosts.length === 0)) {
     account.home += 1
-    return near
+    return nearTiers
   }
-  if (!isAwayOpen || far.length === 0) return { kind: 'shift-capped' }
+  if (!isAwayOpen || farHosts.length === 0) return { kind: 'shift-capped' }
   account.away += 1
   return farTier
 }
 
-const rejectLookup = (tables: LookupTables, question: LookupReceived, error: LookupError): LookupAnswered =>
-  ({ kind: 'lookup-answer', lookup: question.lookup, hosts: [], ttlMs: ANSWER_TTL_MS, ticketZone: tables.gossip.self.zone, error })
+const rejectLookup = (tables: LookupTables, query: LookupReceived, error: LookupError): LookupAnswered =>
+  ({ kind: 'lookup-answer', lookup: query.lookup, hosts: [], ttlMs: ANSWER_TTL_MS, ticketZone: tables.gossip.self.zone, error })
 
 const isInZone = (place: Place, host: RankedHost): boolean => host.zone === place.zone
 
-/** Draws hosts without repetition. */
-const drawHosts = (random: Random, hosts: RankedHost[], most: number): RankedHost[] => {
+/** Removes and returns up to `limit` random hosts. */
+const drawHosts = (random: Random, hosts: RankedHost[], limit: number): RankedHost[] => {
   const drawn: RankedHost[] = []
-  while (drawn.length < most && hosts.length > 0) drawn.push(...hosts.splice(random.below(hosts.length), 1))
+  while (drawn.length < limit && hosts.length > 0) drawn.push(...hosts.splice(random.below(hosts.length), 1))
   return drawn
 }
 
-// Entry hosts of the caller's own zone, filled up from its region to an even part of the region's hosts: a zone with few
-// hosts has as many callers as its neighbour. Without any in the region, those that are left.
+// Returns the entry hosts of the caller's zone, filled up with hosts of its region to an even share of the region's hosts,
+// because a zone with few hosts may have as many callers as any other. Returns all hosts when the region has none.
 const hostsNearPlace = (place: Place, hosts: readonly RankedHost[], random: Random): readonly RankedHost[] => {
   const inRegion = hosts.filter(host => host.region === place.region)
   if (inRegion.length === 0) return hosts
   const inZone = inRegion.filter(host => isInZone(place, host))
   const zones = new Set(inRegion.map(host => host.zone)).add(place.zone)
-  const evenPart = Math.ceil(inRegion.length / zones.size)
-  if (inZone.length >= evenPart) return inZone
-  return [...inZone, ...drawHosts(random, inRegion.filter(host => !isInZone(place, host)), evenPart - inZone.length)]
+  const evenShare = Math.ceil(inRegion.length / zones.size)
+  if (inZone.length >= evenShare) return inZone
+  return [...inZone, ...drawHosts(random, inRegion.filter(host => !isInZone(place, host)), evenShare - inZone.length)]
 }
 
-const answerByPlace = (tables: LookupTables, random: Random, question: LookupReceived): LookupAnswered => {
+const answerByPlace = (tables: LookupTables, random: Random, query: LookupReceived): LookupAnswered => {
   const serving: RankedHost[] = []
   for (const { member } of tables.members.rows()) {
     if (!isServingEntry(member) || member.callers === null) continue
     serving.push({ host: member.host, region: member.region, zone: member.zone, callers: member.callers })
   }
-  const { region, zone } = question.place ?? tables.gossip.self
+  const { region, zone } = query.place ?? tables.gossip.self
   const near = hostsNearPlace({ region, zone }, serving, random)
-  if (near.length === 0 || tables.configuration.index === 0) return rejectLookup(tables, question, { kind: 'no-entry-host' })
+  if (near.length === 0 || tables.configuration.index === 0) return rejectLookup(tables, query, { kind: 'no-entry-host' })
   const first = random.below(near.length)
   const hosts = [...near.slice(first), ...near.slice(0, first)].slice(0, MAX_PLACE_ANSWER_HOSTS)
-  return { kind: 'lookup-answer', lookup: question.lookup, hosts, ttlMs: PLACE_ANSWER_TTL_MS, ticketZone: zone, error: null }
+  return { kind: 'lookup-answer', lookup: query.lookup, hosts, ttlMs: PLACE_ANSWER_TTL_MS, ticketZone: zone, error: null }
 }
 
-/** Decides one look-up. */
-export const answerLookup = (tables: LookupTables, random: Random, question: LookupReceived, now: Millis): LookupAnswered => {
-  if (question.service === null) return answerByPlace(tables, random, question)
-  const rankings = tables.rankings.service(tables, question.service)
-  if (rankings === null) return rejectLookup(tables, question, { kind: 'service-unknown', service: question.service })
-  const site = question.client === null ? null : tables.blocks.siteOf(question.client)
+/** Answers one look-up, and counts it in the service's shift account unless it is by place. */
+export const answerLookup = (tables: LookupTables, random: Random, query: LookupReceived, now: Millis): LookupAnswered => {
+  if (query.service === null) return answerByPlace(tables, random, query)
+  const rankings = tables.rankings.service(tables, query.service)
+  if (rankings === null) return rejectLookup(tables, query, { kind: 'service-unknown', service: query.service })
+  const site = query.client === null ? null : tables.blocks.siteOf(query.client)
   const placed = selectTiers(tables, rankings, tables.rankings.ranking(tables, rankings, site), now)
-  if ('kind' in placed) return rejectLookup(tables, question, placed)
+  if ('kind' in placed) return rejectLookup(tables, query, placed)
   const hosts = chooseHosts(placed, random)
-  return { kind: 'lookup-answer', lookup: question.lookup, hosts, ttlMs: ANSWER_TTL_MS, ticketZone: hosts[0]?.zone ?? tables.gossip.self.zone, error: null }
+  return { kind: 'lookup-answer', lookup: query.lookup, hosts, ttlMs: ANSWER_TTL_MS, ticketZone: hosts[0]?.zone ?? tables.gossip.self.zone, error: null }
 }
 
-/** The system of look-ups. */
 export class LookupSystem implements System<LookupTables, LookupInput, LookupAnswered> {
   readonly name = 'lookup'
 
--- a/src/lookup/types.ts
+++ b/src/lookup/types.ts
@@ -1,28 +1,28 @@
-/** Look-ups: callers ask which entry hosts to use for a service. */
+/** Messages of look-ups, with which callers find the entry hosts to use. */
 
 import type { HostId, Id, RegionId, ServiceId, SiteId, ZoneId } from '../core/id.js'
 import type { Millis } from '../core/tick.js'
 import type { Address } from '../core/address.js'
 
-/** One look-up at the edge. */
+/** Identifies a look-up within the process that received it. */
 export type LookupId = Id<'Lookup'>
 
-/** A place that a caller names itself. */
+/** The region and zone that a caller states as its own. */
 export interface Place { readonly region: RegionId, readonly zone: ZoneId }
 
-/** A caller's question. */
+/** A caller's look-up. */
 export interface LookupReceived {
   readonly kind: 'lookup'
   readonly lookup: LookupId
-  /** Null asks for any entry hosts near the caller's place. */
+  /** The service to look up, or null for a look-up by place. */
   readonly service: ServiceId | null
-  /** The caller's IPv4 address as a number; null when it has none. */
+  /** The caller's IPv4 address as a number; null when it is unknown or not IPv4. */
   readonly client: number | null
-  /** Where the caller says that it is; null when it does not say. */
+  /** The place that the caller stated, or null. */
   readonly place: Place | null
 }
 
-/** An entry host in an answer. */
+/** An entry host in an answer, with the address that callers connect to. */
 export interface RankedHost {
   readonly host: HostId
   readonly region: RegionId
@@ -30,24 +30,24 @@
   readonly callers: Address
 }
 
-/** Why a look-up has no answer. */
+/** Why a look-up was rejected. */
 export type LookupError =
   | { readonly kind: 'service-unknown', readonly service: ServiceId }
   | { readonly kind: 'no-entry-host' }
   | { readonly kind: 'shift-capped' }
 
-/** Entry hosts, best first, and how long a caller may go on using the answer. */
+/** The answer to a look-up: entry hosts, best first, and how long the caller may cache them. */
 export interface LookupAnswered {
   readonly kind: 'lookup-answer'
   readonly lookup: LookupId
   readonly hosts: readonly RankedHost[]
   readonly ttlMs: Millis
-  /** Zone of the best host: the records of requests under the answer's ticket are kept there. */
+  /** Zone for the ticket that is issued with the answer: the zone of the best host, which stores the idempotency records. */
   readonly ticketZone: string
   readonly error: LookupError | null
 }
 
-/** Where a site lies. */
+/** The zone and region of a site. */
 export interface SiteLocation {
   readonly site: SiteId
   readonly zone: ZoneId
--- a/tap-snapshots/src/admission/lending.spec.ts.test.cjs
+++ b/tap-snapshots/src/admission/lending.spec.ts.test.cjs
@@ -5,7 +5,25 @@
  * Make sure to inspect the output below.  Do not ignore changes!
  */
 'use strict'
-exports[`src/admission/lending.spec.ts > TAP > a bucket earns up to its burst, and a whole token at a time is spent > must match snapshot 1`] = `
+exports[`src/admission/lending.spec.ts > TAP > ignores duplicate, late and unsolicited grants > must match snapshot 1`] = `
+Object {
+  "asks": true,
+  "late": false,
+  "once": true,
+  "twice": false,
+  "unasked": false,
+}
+`
+
+exports[`src/admission/lending.spec.ts > TAP > lent tokens count against the burst until the loan expires or is settled > a duplicate settlement is ignored 1`] = `
+Object {
+  "blocked": 2,
+  "full": 5,
+  "settled": 3,
+}
+`
+
+exports[`src/admission/lending.spec.ts > TAP > refills up to the burst and spends whole tokens only > must match snapshot 1`] = `
 Object {
   "earned": Array [
     5,
@@ -24,7 +42,7 @@
 }
 `
 
-exports[`src/admission/lending.spec.ts > TAP > a credit that ends is settled with its lender, with what is left of it > must match snapshot 1`] = `
+exports[`src/admission/lending.spec.ts > TAP > reports the unspent tokens of an expired credit to its lender > must match snapshot 1`] = `
 Object {
   "first": Array [
     Object {
@@ -46,21 +64,3 @@
   "third": Array [],
 }
 `
-
-exports[`src/admission/lending.spec.ts > TAP > a grant that comes twice, late or unasked is not taken > must match snapshot 1`] = `
-Object {
-  "asks": true,
-  "late": false,
-  "once": true,
-  "twice": false,
-  "unasked": false,
-}
-`
-
-exports[`src/admission/lending.spec.ts > TAP > lent tokens take up room until the loan ends or is settled > a doubled settlement brings nothing 1`] = `
-Object {
-  "blocked": 2,
-  "full": 5,
-  "settled": 3,
-}
-`
--- a/tap-snapshots/src/admission/plannedAllowance.spec.ts.test.cjs
+++ b/tap-snapshots/src/admission/plannedAllowance.spec.ts.test.cjs
@@ -5,7 +5,7 @@
  * Make sure to inspect the output below.  Do not ignore changes!
  */
 'use strict'
-exports[`src/admission/plannedAllowance.spec.ts > TAP > the parts of all hosts are the whole, whatever the rate > holders by rate 1`] = `
+exports[`src/admission/plannedAllowance.spec.ts > TAP > the shares of all hosts add up to the whole limit at any rate > holders by rate 1`] = `
 Object {
   "1": 6,
   "100": 12,
--- a/tap-snapshots/src/idempotency/atMostOnce.spec.ts.test.cjs
+++ b/tap-snapshots/src/idempotency/atMostOnce.spec.ts.test.cjs
@@ -5,46 +5,46 @@
  * Make sure to inspect the output below.  Do not ignore changes!
  */
 'use strict'
-exports[`src/idempotency/atMostOnce.spec.ts > TAP > a home that has restarted does not vouch for what it may have forgotten > the resend is refused; a ticket issued since the restart is served 1`] = `
+exports[`src/idempotency/atMostOnce.spec.ts > TAP > a request that was refused before it ran may be resent under its key > must match snapshot 1`] = `
 Array [
-  "n1-1: served  (run)",
-  "m1-1: refused earlier-outcome-unknown (not-run)",
+  "n1-1: refused shift-capped (not-run)",
   "m1-1: served  (run)",
 ]
 `
 
-exports[`src/idempotency/atMostOnce.spec.ts > TAP > a request that was refused before it ran may be sent again under its key > must match snapshot 1`] = `
+exports[`src/idempotency/atMostOnce.spec.ts > TAP > a ticket whose record has expired is refused > must match snapshot 1`] = `
 Array [
-  "n1-1: refused shift-capped (not-run)",
-  "m1-1: served  (run)",
+  "n1-1: refused earlier-outcome-unknown (not-run)",
 ]
 `
 
-exports[`src/idempotency/atMostOnce.spec.ts > TAP > a resend elsewhere of a finished request gets the first answer > must match snapshot 1`] = `
-Array [
-  "n1-1: served  (run)",
-  "s2-3: served replayed (run)",
-  "s2-3: refused idempotency-mismatch (not-run)",
-]
+exports[`src/idempotency/atMostOnce.spec.ts > TAP > latency of the claim: no record, records in the zone of the ticket, and records in three zones > median in virtual milliseconds with 27 ms one way between regions 1`] = `
+Object {
+  "none": 10,
+  "plainKey": 64,
+  "ticket": 11,
+}
 `
 
-exports[`src/idempotency/atMostOnce.spec.ts > TAP > a resend while the first still runs, and after its entry host has died > first not run and may come back, then not run with the earlier outcome unknown 1`] = `
+exports[`src/idempotency/atMostOnce.spec.ts > TAP > refuses a resend while the first request runs and after its entry host has died > first already running, then the earlier outcome is unknown 1`] = `
 Array [
   "m1-1: refused already-running (not-run)",
   "m1-1: refused earlier-outcome-unknown (not-run)",
 ]
 `
 
-exports[`src/idempotency/atMostOnce.spec.ts > TAP > a ticket whose record has expired is refused > must match snapshot 1`] = `
+exports[`src/idempotency/atMostOnce.spec.ts > TAP > replays the first answer to a resend through another host > must match snapshot 1`] = `
 Array [
-  "n1-1: refused earlier-outcome-unknown (not-run)",
+  "n1-1: served  (run)",
+  "s2-3: served replayed (run)",
+  "s2-3: refused idempotency-mismatch (not-run)",
 ]
 `
 
-exports[`src/idempotency/atMostOnce.spec.ts > TAP > price of the record: none, in the zone of the ticket, and over three zones > median in virtual milliseconds with 27 ms one way between regions 1`] = `
-Object {
-  "none": 10,
-  "plainKey": 64,
-  "ticket": 11,
-}
+exports[`src/idempotency/atMostOnce.spec.ts > TAP > restarted record hosts abstain on keys whose record they may have lost > the resend is refused; a ticket issued since the restart is served 1`] = `
+Array [
+  "n1-1: served  (run)",
+  "m1-1: refused earlier-outcome-unknown (not-run)",
+  "m1-1: served  (run)",
+]
 `
