--- a/src/announcement/announcement.spec.ts
+++ b/src/announcement/announcement.spec.ts
@@ -4,7 +4,7 @@
 import { placesOver } from '../stand-ins/virtualPlaces.js'
 import { VirtualFleet } from '../stand-ins/virtualFleet.js'
 
-t.test('a server that is gone while a request still runs there is remembered without waking the host all the time', async t => {
+t.test('keeps a server that is gone while a request runs there, without a deadline that stays due', async t => {
   const places = placesOver(['n'], 1, 1)
   const fleet = new VirtualFleet(1)
   const entry = new VirtualEntry(fleet, places, new ConfigurationBuilder().profile(ordinaryTerms).service('upload', 600_000).hosts(places).workspace('w', 100, 50).snapshot())
@@ -13,10 +13,10 @@
   entry.send('n1-1', { service: 'upload', workspace: 'w', method: 'POST' })
   fleet.runFor(100)
   server.isDown = true
-  // The virtual fleet stops on a deadline that stays due.
+  // The virtual fleet fails on a deadline that stays due, which would make a host run ticks without pause.
   fleet.runFor(200_000)
   const row = entry.tables('n1-1').backends.get('upload/server')
   t.matchSnapshot({ state: row?.announcement.state, inFlight: row?.inFlight })
   fleet.runFor(200_000)
-  t.equal(entry.tables('n1-1').backends.size, 0, 'it is forgotten when nothing runs there any more')
+  t.equal(entry.tables('n1-1').backends.size, 0, 'the server is removed when no request runs there any more')
 })
--- a/src/announcement/announcementSystem.ts
+++ b/src/announcement/announcementSystem.ts
@@ -1,4 +1,4 @@
-/** Takes announcements in, and declares servers gone that have fallen silent. */
+/** Processes announcements and marks servers as gone when they stop announcing themselves. */
 
 import { NEVER } from '../core/tick.js'
 import type { Millis, System, Tick } from '../core/tick.js'
@@ -7,25 +7,25 @@
 import { announcementTopic, backendKey, mergeAnnouncement } from './announcementTopic.js'
 import type { Announcement, AnnouncementReceived, BackendRow } from './types.js'
 
-/** How often a backend server announces itself. */
+/** Interval at which a backend server announces itself. */
 export const ANNOUNCEMENT_INTERVAL_MS: Millis = 500
-/** Silence after which a server gets no new work. */
+/** Time without an announcement after which a server is marked gone and gets no new requests. */
 export const ANNOUNCEMENT_EXPIRY_MS: Millis = 2_000
-/** A host whose configuration was confirmed within this time hears what others hear. */
+/** A host counts as connected to the fleet while its configuration was confirmed within this time. */
 const MAX_CONFIRMATION_AGE_MS: Millis = 5_000
 const EXPIRY_RETRY_INTERVAL_MS: Millis = 1_000
-/** How long a server that is gone is remembered, so that old rumors do not revive it. */
+/** How long the row of a server that is gone is kept, so that delayed rumors do not restore it. */
 const GONE_RETENTION_MS: Millis = 60_000
 
 type AnnouncementTick = Tick<RumorTables, { kind: string }, unknown>
 
 const handleAnnouncement = (tick: AnnouncementTick, announcement: Announcement): void => {
-  const isNews = mergeAnnouncement(tick.tables, announcement, tick.now)
+  const isRelevant = mergeAnnouncement(tick.tables, announcement, tick.now)
   const row = tick.tables.backends.get(backendKey(announcement))
-  // An announcement that lost against a newer epoch must not keep the older process alive.
+  // An announcement of another epoch was not merged and must not keep the recorded process alive.
   if (row === undefined || row.announcement.epoch !== announcement.epoch) return
   row.heardAt = tick.now
-  if (isNews) spreadRumor(tick, announcementTopic, { topic: 'announcement', announcement: row.announcement })
+  if (isRelevant) spreadRumor(tick, announcementTopic, { topic: 'announcement', announcement: row.announcement })
 }
 
 const expire = (tick: AnnouncementTick, row: BackendRow): void => {
@@ -40,34 +40,36 @@
   spreadRumor(tick, announcementTopic, { topic: 'announcement', announcement: row.announcement })
 }
 
-/** The system of announcements. */
 export class AnnouncementSystem implements System<RumorTables, { kind: string }, unknown> {
   readonly name = 'announcement'
-  #earliestExpiry: Millis = NEVER
+  #nextExpiryAt: Millis = NEVER
 
-  /** Where any host may hear a server, its silence counts only while this host is in touch with the others. */
-  constructor (readonly expiryMs: Millis = ANNOUNCEMENT_EXPIRY_MS, readonly isShared = false) {}
+  /**
+   * With shared reports, a server may announce itself to any host. A host that is not connected to the others then misses
+   * reports and marks no server as gone.
+   */
+  constructor (readonly expiryMs: Millis = ANNOUNCEMENT_EXPIRY_MS, readonly hasSharedReports = false) {}
 
   run (tick: AnnouncementTick): void {
     for (const row of tick.inbox) {
       if (row.kind !== 'announcement') continue
       handleAnnouncement(tick, (row as AnnouncementReceived).announcement)
-      this.#earliestExpiry = Math.min(this.#earliestExpiry, tick.now + this.expiryMs)
+      this.#nextExpiryAt = Math.min(this.#nextExpiryAt, tick.now + this.expiryMs)
     }
-    if (tick.now < this.#earliestExpiry || !this.#mayJudge(tick)) return
-    this.#earliestExpiry = NEVER
+    if (tick.now < this.#nextExpiryAt || !this.#canExpire(tick)) return
+    this.#nextExpiryAt = NEVER
     for (const row of [...tick.tables.backends.rows()]) {
       if (this.#expiryOf(row) <= tick.now) expire(tick, row)
-      if (tick.tables.backends.has(row.key)) this.#earliestExpiry = Math.min(this.#earliestExpiry, this.#expiryOf(row))
+      if (tick.tables.backends.has(row.key)) this.#nextExpiryAt = Math.min(this.#nextExpiryAt, this.#expiryOf(row))
     }
   }
 
-  deadline (): Millis { return this.#earliestExpiry }
+  deadline (): Millis { return this.#nextExpiryAt }
 
-  #mayJudge (tick: AnnouncementTick): boolean {
+  #canExpire (tick: AnnouncementTick): boolean {
     const { confirmedAt } = tick.tables.gossip
-    if (!this.isShared || (confirmedAt !== null && tick.now - confirmedAt < MAX_CONFIRMATION_AGE_MS)) return true
-    this.#earliestExpiry = tick.now + EXPIRY_RETRY_INTERVAL_MS
+    if (!this.hasSharedReports || (confirmedAt !== null && tick.now - confirmedAt < MAX_CONFIRMATION_AGE_MS)) return true
+    this.#nextExpiryAt = tick.now + EXPIRY_RETRY_INTERVAL_MS
     return false
   }
 
--- a/src/announcement/announcementTopic.spec.ts
+++ b/src/announcement/announcementTopic.spec.ts
@@ -12,7 +12,7 @@
 const states = (tables: AnnouncementTables): Record<string, string> =>
   Object.fromEntries([...tables.backends.rows()].map(row => [row.key, `${row.announcement.state} ${row.announcement.epoch}/${row.announcement.sequence}`]))
 
-t.test('an address belongs to the server that started last there, whatever an earlier one still says', async t => {
+t.test('assigns an address to the server that started there last, despite later announcements of earlier servers', async t => {
   const tables = createTables()
   const seen: unknown[] = []
   const take = (announcement: Announcement): void => {
@@ -25,10 +25,10 @@
   take(announce('old', 'a', { sequence: 7, state: 'draining' }))
   take(announce('older', 'c', { epoch: 0, sequence: 9 }))
   t.matchSnapshot(seen)
-  t.same(applyReports(tables, [{ service: toId('a'), backend: toId('old'), epoch: 1, sequence: 9 }], 1), [], 'also when another control host heard it')
+  t.same(applyReports(tables, [{ service: toId('a'), backend: toId('old'), epoch: 1, sequence: 9 }], 1), [], 'also for a report of another control host')
 })
 
-t.test('a server that was taken for gone is back when any control host hears it', async t => {
+t.test('restores a server marked gone when any control host reports a newer announcement', async t => {
   const tables = createTables()
   mergeAnnouncement(tables, announce('one', 'a', { sequence: 3 }), 0)
   mergeAnnouncement(tables, announce('one', 'a', { sequence: 3, state: 'gone' }), 0)
@@ -37,7 +37,7 @@
   t.matchSnapshot(states(tables))
 })
 
-t.test('a server that starts again under its name begins anew, and a draining one stays so within its life', async t => {
+t.test('resets the state when a server restarts, and keeps a draining server draining within one epoch', async t => {
   const tables = createTables()
   const take = (changes: Partial<Announcement>): Record<string, string> => {
     mergeAnnouncement(tables, announce('one', 'a', changes), 0)
--- a/src/announcement/announcementTopic.ts
+++ b/src/announcement/announcementTopic.ts
@@ -1,4 +1,4 @@
-/** Rumors about backend servers, and the row that each host keeps for one. */
+/** The gossip topic of backend servers and the rows that each host keeps for them. */
 
 import type { BackendId } from '../core/id.js'
 import { RowTable } from '../core/table.js'
@@ -9,18 +9,18 @@
 
 const statePrecedence: Readonly<Record<Announcement['state'], number>> = { up: 0, draining: 1, gone: 2 }
 
-/** The key of a backend server: its name within its service. */
-export const backendKey = (of: { service: string, backend: string }): string => `${of.service}/${of.backend}`
+/** Returns the key of a backend server, whose name is unique within its service. */
+export const backendKey = (server: { service: string, backend: string }): string => `${server.service}/${server.backend}`
 
-const supersedes = (news: Announcement, known: Announcement): boolean => {
-  if (news.epoch !== known.epoch) return news.epoch > known.epoch
-  // A leaving server does not come back within its epoch; only its end is still news.
-  if (known.state === 'draining' && news.state === 'up') return false
-  if (news.sequence !== known.sequence) return news.sequence > known.sequence
-  return statePrecedence[news.state] > statePrecedence[known.state]
+const supersedes = (next: Announcement, current: Announcement): boolean => {
+  if (next.epoch !== current.epoch) return next.epoch > current.epoch
+  // A draining server does not return to service within its epoch; it can only become gone.
+  if (current.state === 'draining' && next.state === 'up') return false
+  if (next.sequence !== current.sequence) return next.sequence > current.sequence
+  return statePrecedence[next.state] > statePrecedence[current.state]
 }
 
-/** A table of backend servers, grouped by service. */
+/** Creates a table of backend servers, grouped by service. */
 export const createBackendTable = (): AnnouncementTables['backends'] => new RowTable<string, BackendRow>(row => row.key, row => row.announcement.service)
 
 const createRow = (announcement: Announcement, now: Millis): BackendRow => ({
@@ -43,14 +43,15 @@
   slownessUpdatedAt: now
 })
 
-const isRelevantChange = (news: Announcement, known: Announcement): boolean =>
-  news.epoch !== known.epoch || news.state !== known.state || news.slots !== known.slots || news.target.port !== known.target.port ||
-  (news.coldMs > 0) !== (known.coldMs > 0)
+const isRelevantChange = (next: Announcement, current: Announcement): boolean =>
+  next.epoch !== current.epoch || next.state !== current.state || next.slots !== current.slots || next.target.port !== current.target.port ||
+  (next.coldMs > 0) !== (current.coldMs > 0)
 
 const sameTarget = (a: Announcement, b: Announcement): boolean =>
   a.target.address === b.target.address && a.target.port === b.target.port
 
-// An address passes to the server that started last there; a late word of its predecessor must not take it back.
+// Assigns an address to the server that started there last and marks the others at that address as gone. Returns false when
+// a newer server has the address, so that a delayed announcement of an earlier server cannot take it back.
 const claimAddress = (tables: AnnouncementTables, announcement: Announcement): boolean => {
   for (const row of tables.backends.rows()) {
     const other = row.announcement
@@ -61,19 +62,19 @@
   return true
 }
 
-/** Takes an announcement into the table; true when others should hear of it. */
+/** Merges an announcement into the table. Returns whether it should be spread to other hosts. */
 export const mergeAnnouncement = (tables: AnnouncementTables, announcement: Announcement, now: Millis): boolean => {
   const row = tables.backends.get(backendKey(announcement))
-  const isNewLife = row === undefined || announcement.epoch > row.announcement.epoch
-  const isRevival = row?.announcement.state === 'gone' && announcement.state !== 'gone'
-  if ((isNewLife || isRevival) && !claimAddress(tables, announcement)) return false
+  const isNewEpoch = row === undefined || announcement.epoch > row.announcement.epoch
+  const isReturning = row?.announcement.state === 'gone' && announcement.state !== 'gone'
+  if ((isNewEpoch || isReturning) && !claimAddress(tables, announcement)) return false
   if (row === undefined) {
     tables.backends.put(createRow(announcement, now))
     return true
   }
   if (!supersedes(announcement, row.announcement)) return false
-  const known = row.announcement
-  if (announcement.epoch !== known.epoch) {
+  const current = row.announcement
+  if (announcement.epoch !== current.epoch) {
     row.firstSeenAt = now
     row.ejectedUntil = 0
     row.consecutiveFailures = 0
@@ -86,10 +87,10 @@
   if (announcement.coldMs > 0) row.coldUntil = now + announcement.coldMs
   row.announcement = announcement
   tables.backends.put(row)
-  return isRelevantChange(announcement, known)
+  return isRelevantChange(announcement, current)
 }
 
-/** The announcement of one life of a server by its name alone; of its newest life when none is named. */
+/** Finds the announcement of a server by its name, whatever its service: that of the given epoch, or the newest when the epoch is null. */
 export const findIncarnation = (tables: AnnouncementTables, backend: BackendId, epoch: number | null): Announcement | undefined => {
   let found: Announcement | undefined
   for (const { announcement } of tables.backends.rows()) {
@@ -99,25 +100,24 @@
   return found
 }
 
-/** Takes what other control hosts heard from backend servers; returns those that had been taken for gone. */
+/** Applies the reports of other control hosts. Returns the announcements of servers that were marked gone and are up again. */
 export const applyReports = (tables: AnnouncementTables, reports: readonly Report[], now: Millis): Announcement[] => {
-  const revived: Announcement[] = []
+  const returned: Announcement[] = []
   for (const report of reports) {
     const row = tables.backends.get(backendKey(report))
     if (row === undefined || row.announcement.epoch !== report.epoch || report.sequence < row.announcement.sequence) continue
     const { state } = row.announcement
-    const isRevived = state === 'gone' && report.sequence > row.announcement.sequence && claimAddress(tables, row.announcement)
-    row.announcement = { ...row.announcement, sequence: report.sequence, state: isRevived ? 'up' : state }
+    const isReturning = state === 'gone' && report.sequence > row.announcement.sequence && claimAddress(tables, row.announcement)
+    row.announcement = { ...row.announcement, sequence: report.sequence, state: isReturning ? 'up' : state }
     row.heardAt = now
-    if (isRevived) revived.push(row.announcement)
+    if (isReturning) returned.push(row.announcement)
   }
-  return revived
+  return returned
 }
 
-/** The topic of announcements. */
 export const announcementTopic: RumorTopic<'announcement'> = {
   key: rumor => `announcement/${backendKey(rumor.announcement)}`,
-  // The sequence grows with each announcement to its own zone and is no news elsewhere.
+  // Leaves out the sequence: it increases with each announcement and matters only where the server announces itself.
   version: ({ announcement }) => `${announcement.epoch} ${announcement.state} ${announcement.slots} ${announcement.target.port} ${announcement.coldMs > 0 ? 'cold' : 'warm'}`,
   isRepeated: true,
   merge: (tick, rumor) => mergeAnnouncement(tick.tables, rumor.announcement, tick.now),
--- a/src/announcement/types.ts
+++ b/src/announcement/types.ts
@@ -1,11 +1,11 @@
-/** Backend servers announce themselves; there is no list of them. */
+/** Tables and messages of backend servers, which register by announcing themselves. */
 
 import type { BackendId, ExchangeId, RegionId, ServiceId, ZoneId } from '../core/id.js'
 import type { RowTable } from '../core/table.js'
 import type { Millis } from '../core/tick.js'
 import type { Address } from '../core/address.js'
 
-/** What a backend server says of itself, as it spreads between hosts. */
+/** The announcement of a backend server, which spreads between hosts by gossip. */
 export interface Announcement {
   readonly service: ServiceId
   readonly backend: BackendId
@@ -15,57 +15,56 @@
   readonly slots: number
   /** Start of the server's process, in wall-clock milliseconds. */
   readonly epoch: number
-  /** Raised by the server with each announcement. */
+  /** Increased by the server with each announcement. */
   readonly sequence: number
   readonly state: 'up' | 'draining' | 'gone'
-  /** How much longer the server bears little load after its start, from when this was said. */
+  /** Remaining time of the cold start when the announcement was sent. */
   readonly coldMs: Millis
 }
 
-/** A backend server as this host sees it. */
+/** The state of a backend server on this host. */
 export interface BackendRow {
   readonly key: string
   announcement: Announcement
-  /** When the server itself last spoke to this host; null when only others told of it. */
+  /** When this host last received an announcement or a report of the server; null when it knows the server by gossip only. */
   heardAt: Millis | null
-  /** When this host first saw the present epoch. */
+  /** When this host first received the current epoch. */
   firstSeenAt: Millis
-  /** Attempts of this host that are running there. */
+  /** Number of this host's attempts that are running there. */
   inFlight: number
-  /** The suspect that runs there alone, by this host's doing. */
+  /** The suspect request for which this host reserves the server, so that it runs in isolation. */
   reservedFor: ExchangeId | null
-  /** No new work before this time, after failures seen here. */
+  /** End of an outlier ejection after consecutive failures on this host. */
   ejectedUntil: Millis
   consecutiveFailures: number
-  /** No new work before this time, after a shed. */
+  /** End of the backoff after the server shed a request. */
   shedUntil: Millis
-  /** Sheds in a row; each doubles the pause after it. */
+  /** Number of consecutive sheds; each doubles the next backoff, up to a limit. */
   shedStreak: number
-  /** No more than its warm-up rate before this time. */
+  /** End of the cold start. Until then the warm-up rate limits its requests. */
   coldUntil: Millis
-  /** When this host sent to it while it was cold, within the last second. */
+  /** Send times of this host's requests to the cold server within the last second. */
   coldSendTimes: Millis[]
-  /** What other hosts keep busy there, smoothed over what its answers say; 0 while they say nothing. */
+  /** Requests of other hosts at the server, smoothed over the load that its answers report; 0 until an answer reports load. */
   otherHostsLoad: number
-  /** Since when requests of this host have run there without any answer; null while none runs. */
+  /** Time of the last answer, or of the first request after the server was idle; null while no request of this host runs there. */
   unansweredSince: Millis | null
-  /** When an answer last told the server's load. */
+  /** When an answer last reported the server's load; 0 while none has. */
   loadReportedAt: Millis
-  /** Time that its answers take against what was expected of them, smoothed; 1 for an ordinary server. */
+  /** Ratio of the measured to the expected time of its answers, smoothed; 1 for an average server. */
   slowness: number
-  /** When an answer last told that. */
+  /** When `slowness` was last updated. */
   slownessUpdatedAt: Millis
 }
 
-/** What a backend server's answer says of its load. */
+/** The load that a backend server reports in its answers. */
 export interface ReportedLoad { readonly running: number, readonly waiting: number, readonly slots: number }
 
-/** Tables of backend servers. */
 export interface AnnouncementTables {
   readonly backends: RowTable<string, BackendRow>
 }
 
-/** A server's own announcement, received on an authenticated connection. */
+/** An announcement received from the server itself on an authenticated connection. */
 export interface AnnouncementReceived {
   readonly kind: 'announcement'
   readonly announcement: Announcement
--- a/src/configuration/applyChange.ts
+++ b/src/configuration/applyChange.ts
@@ -1,4 +1,4 @@
-/** Applies committed changes in order; the same log gives the same configuration on every host. */
+/** Applies committed changes in log order. Deterministic: the same log results in the same configuration on every host. */
 
 import { invariant, ok, fail } from '../core/outcome.js'
 import type { Outcome } from '../core/outcome.js'
@@ -9,7 +9,7 @@
 import type { Configuration } from './configurationTables.js'
 import type { Change, Command, CommandEnvelope, CommandError, CommandReceipt, CommandRecord } from './types.js'
 
-/** Requests whose first outcome is kept for resends. */
+/** Maximum number of requests whose first outcome is kept for resends. */
 export const MAX_REMEMBERED_REQUESTS = 4096
 
 const recordKey = (envelope: CommandEnvelope): Id<'CommandRecord'> => toId(`${envelope.operator}/${envelope.requestId}`)
@@ -18,7 +18,7 @@
   record.receipt !== null ? ok(record.receipt) : fail(record.error ?? { kind: 'request-id-reused' })
 
 const runCommand = (configuration: Configuration, envelope: CommandEnvelope): Outcome<number, CommandError> => {
-  // The registry's key and the command's kind are the same literal, which the compiler cannot see through the union.
+  // The registry key equals the command's kind, but the compiler cannot infer this for a union.
   const definition = commandRegistry[envelope.command.kind] as CommandDefinition<Command['kind']>
   if (!envelope.roles.includes(definition.role)) return fail({ kind: 'role-missing', role: definition.role })
   return definition.apply(configuration, envelope.command as never, envelope)
@@ -31,7 +31,10 @@
   if (oldest !== undefined) configuration.records.remove(oldest.key)
 }
 
-/** Applies the next change and returns its outcome; a resent request gets the outcome of its first run. */
+/**
+ * Applies the next change and returns its outcome, or null for a change without a command. A resent request gets the
+ * outcome of its first run.
+ */
 export const applyChange = (configuration: Configuration, change: Change): Outcome<CommandReceipt, CommandError> | null => {
   invariant(change.index === configuration.index + 1, `change ${change.index} does not follow ${configuration.index}`)
   configuration.index = change.index
--- a/src/configuration/applyPlan.ts
+++ b/src/configuration/applyPlan.ts
@@ -1,4 +1,4 @@
-/** Puts a plan in force: its services, workspaces, keys and routes take the place of those before. */
+/** Applies a plan: replaces all profiles, services, workspaces, keys and routes by those of the plan. */
 
 import { toId } from '../core/id.js'
 import type { OperatorId, ProfileId } from '../core/id.js'
@@ -6,10 +6,10 @@
 import type { Service, Workspace } from './types.js'
 import type { Plan, PlannedWorkspace, Route } from '../plan/types.js'
 
-/** The profile that services of a plan run under. */
+/** The profile that all services of a plan use. */
 export const PLAN_PROFILE: ProfileId = toId<ProfileId>('plan')
 
-/** Rate and burst of a workspace without a limit, in requests a second. */
+/** Rate, in requests per second, and burst of a workspace without a limit. */
 export const UNLIMITED_RATE = 1e9
 
 const longestTimeouts = (routes: readonly Route[]): ReadonlyMap<string, number> => {
@@ -45,7 +45,6 @@
   allowedRegions: row.allowedRegions
 })
 
-/** Puts a plan in force. */
 export const applyPlan = (configuration: Configuration, plan: Plan, operator: OperatorId): void => {
   const { profiles, latestProfiles, services, workspaces, keys, routes } = configuration
   profiles.clear()
--- a/src/configuration/commandRegistry.ts
+++ b/src/configuration/commandRegistry.ts
@@ -1,4 +1,4 @@
-/** The commands that operators may give: one small definition for each kind, behind one typed interface. */
+/** The commands of operators, one definition per kind. */
 
 import { fail, ok } from '../core/outcome.js'
 import type { Outcome } from '../core/outcome.js'
@@ -14,9 +14,9 @@
 /** How one kind of command is authorized and applied. */
 export interface CommandDefinition<K extends Command['kind']> {
   readonly role: Role
-  /** Whether a resend does no harm, so that its first outcome need not be remembered. */
+  /** Whether a repeated command has no further effect, so that its first outcome is not stored for resends. */
   readonly isIdempotent?: true
-  /** Changes the tables and returns the entity's new version, or leaves them untouched and says why. */
+  /** Changes the configuration and returns the new version of the entity, or returns an error without any change. */
   apply (configuration: Configuration, command: CommandOf<K>, envelope: CommandEnvelope): VersionOutcome
 }
 
@@ -119,7 +119,8 @@
   return free
 }
 
-// A host that is cut off goes on with the part it knows, so a part only ever grows until its host is removed.
+// Rejects fewer parts than the host already has: a partitioned host would go on using the larger share. Only removing the
+// host frees its parts.
 const registerHost: CommandDefinition<'register-host'> = {
   role: 'assign',
   apply: (configuration, command) => {
@@ -138,7 +139,7 @@
     configuration.entryHosts.remove(command.host) ? ok(0) : notFound(`host ${command.host}`)
 }
 
-// An older plan is acknowledged and changes nothing: the highest version is in force.
+// Acknowledges an older plan without applying it, because the highest version is in force.
 const putPlan: CommandDefinition<'put-plan'> = {
   role: 'assign',
   isIdempotent: true,
@@ -167,7 +168,7 @@
   }
 }
 
-/** Retired lives that are kept; by then the processes of older ones have long ended. */
+/** Maximum number of retirements that are kept. The processes of older ones have ended by the time they are dropped. */
 export const MAX_RETIREMENTS = 2_048
 
 const retireBackend: CommandDefinition<'retire-backend'> = {
@@ -181,7 +182,6 @@
   }
 }
 
-/** Every kind of command with its definition. */
 export const commandRegistry: { readonly [K in Command['kind']]: CommandDefinition<K> } = {
   'draft-profile': draftProfile,
   'approve-profile': approveProfile,
--- a/src/configuration/configurationTables.ts
+++ b/src/configuration/configurationTables.ts
@@ -1,4 +1,4 @@
-/** The configuration as tables, with snapshots in and out. */
+/** The tables of the configuration, with functions to take and install snapshots. */
 
 import { RowTable } from '../core/table.js'
 import type { HostId, KeyDigest, ProfileId, ServiceId, WorkspaceId, ZoneId } from '../core/id.js'
@@ -7,7 +7,7 @@
 import type { ProfileTerms } from '../plan/types.js'
 import type { CommandRecord, ConfigurationSnapshot, Drain, EntryHost, Evacuation, KeyGrant, LogIndex, ProfileVersion, Retirement, Service, Workspace } from './types.js'
 
-/** Every table of the configuration and the index of the last change in it. */
+/** All tables of the configuration and the log index of the last applied change. */
 export interface Configuration {
   index: LogIndex
   readonly profiles: RowTable<string, ProfileVersion>
@@ -18,29 +18,27 @@
   readonly entryHosts: RowTable<HostId, EntryHost>
   readonly drains: RowTable<string, Drain>
   readonly records: RowTable<string, CommandRecord>
-  /** The newest plan, which the services, workspaces, keys and routes below come from; null when operators give commands instead. */
+  /** The plan in force, which defines the services, workspaces, keys and routes; null when operators configure these by commands. */
   plan: Plan | null
   readonly routes: RouteTable
   readonly evacuations: RowTable<ZoneId, Evacuation>
   readonly retirements: RowTable<string, Retirement>
 }
 
-/** The key of one version of a profile. */
 export const profileKey = (profile: ProfileId, version: number): string => `${profile}@${version}`
-/** The key of a drain. */
 export const drainKey = (drain: Drain): string => `${drain.service}/${drain.backend}`
 
-/** The key of one life of a backend server. */
-export const retirementKey = (of: Retirement): string => `${of.service}/${of.backend}@${of.epoch}`
+/** Returns the key of one incarnation of a backend server. */
+export const retirementKey = (retirement: Retirement): string => `${retirement.service}/${retirement.backend}@${retirement.epoch}`
 
-/** The terms that a service runs under; null unless they are approved. */
+/** Returns the terms of a service, or null unless its profile version is approved. */
 export const findApprovedTerms = (configuration: Configuration, service: ServiceId): ProfileTerms | null => {
   const row = configuration.services.get(service)
   const version = row === undefined ? undefined : configuration.profiles.get(profileKey(row.profile, row.profileVersion))
   return version === undefined || version.approver === null ? null : version.terms
 }
 
-/** An empty configuration at index 0. */
+/** Creates an empty configuration at index 0. */
 export const createConfiguration = (): Configuration => ({
   index: 0,
   profiles: new RowTable<string, ProfileVersion>(row => profileKey(row.profile, row.version)),
@@ -57,7 +55,6 @@
   retirements: new RowTable<string, Retirement>(retirementKey)
 })
 
-/** Copies the configuration into plain rows. */
 export const takeSnapshot = (configuration: Configuration): ConfigurationSnapshot => ({
   index: configuration.index,
   profiles: [...configuration.profiles.rows()],
@@ -77,7 +74,7 @@
   for (const row of rows) table.put(row)
 }
 
-/** Replaces the configuration by a newer snapshot; an older one is ignored. */
+/** Replaces the configuration by a snapshot. Returns false and changes nothing unless the snapshot is newer. */
 export const installSnapshot = (configuration: Configuration, snapshot: ConfigurationSnapshot): boolean => {
   if (snapshot.index <= configuration.index) return false
   replaceRows(configuration.profiles, snapshot.profiles)
--- a/src/configuration/recentChanges.ts
+++ b/src/configuration/recentChanges.ts
@@ -1,11 +1,11 @@
-/** The last changes, kept so that a host a little behind catches up without a whole snapshot. */
+/** Keeps recent changes, so that a host that lags a little behind can catch up without a full snapshot. */
 
 import type { Change, LogIndex } from './types.js'
 
-/** Changes kept for hosts that are a little behind. */
+/** Number of changes that remain when older ones are dropped. Twice as many may be kept before that. */
 export const MIN_RETAINED_CHANGES = 256
 
-/** A bounded run of consecutive changes. */
+/** A bounded list of consecutive changes. */
 export class RecentChanges {
   #changes: Change[] = []
 
@@ -16,7 +16,7 @@
     if (this.#changes.length > 2 * MIN_RETAINED_CHANGES) this.#changes = this.#changes.slice(-MIN_RETAINED_CHANGES)
   }
 
-  /** All changes after an index, or null when some of them are no longer kept. */
+  /** Returns all changes after an index, or null when some of them have been dropped. */
   after (index: LogIndex): readonly Change[] | null {
     const first = this.#changes[0]
     if (first === undefined || first.index > index + 1) return null
--- a/src/configuration/types.ts
+++ b/src/configuration/types.ts
@@ -1,12 +1,12 @@
-/** The configuration that operators change and every host holds a copy of. */
+/** Types of the configuration, which operators change and every host replicates. */
 
 import type { BackendId, HostId, Id, KeyDigest, OperatorId, ProfileId, RegionId, RequestId, ServiceId, SiteId, WorkspaceId, ZoneId } from '../core/id.js'
 import type { Plan, ProfileTerms, Warmup } from '../plan/types.js'
 
-/** The position of a change in the log; a host's configuration never goes back to a smaller one. */
+/** Position of a change in the log. The index of a host's configuration never decreases. */
 export type LogIndex = number
 
-/** One version of a steering profile; its terms never change. */
+/** One version of a steering profile. Its terms are immutable. */
 export interface ProfileVersion {
   readonly profile: ProfileId
   readonly version: number
@@ -15,63 +15,63 @@
   readonly approver: OperatorId | null
 }
 
-/** A service and the approved profile that it runs under. */
+/** A service and the approved profile version that applies to it. */
 export interface Service {
   readonly service: ServiceId
   readonly version: number
   readonly profile: ProfileId
   readonly profileVersion: number
-  /** Default deadline of a request, in milliseconds. */
+  /** Default timeout of a request, in milliseconds. */
   readonly timeoutMs: number
-  /** Paths that need no key. */
+  /** Paths on which requests need no key. */
   readonly openPaths: readonly string[]
-  /** What its servers bear right after a start; null when nobody has said. */
+  /** Load limit of its servers after a cold start; null when it is not configured. */
   readonly warmup: Warmup | null
 }
 
-/** A tenant with its share of the fleet. */
+/** A workspace with its rate limit and its weight in the queues. */
 export interface Workspace {
   readonly workspace: WorkspaceId
   readonly version: number
-  /** Requests a second over all hosts together. */
+  /** Rate limit over all hosts together, in requests per second. */
   readonly rate: number
-  /** Requests that may come at once over all hosts together. */
+  /** Burst over all hosts together, in requests. */
   readonly burst: number
-  /** Share of backend slots under scarcity, relative to other workspaces. */
+  /** Share of backend slots relative to other workspaces when slots are scarce. */
   readonly weight: number
-  /** Rank of its requests, 0 first; null leaves the rank to the route. */
+  /** Priority of its requests, 0 is the highest; null leaves the priority to the route. */
   readonly rank: number | null
-  /** Regions that its requests may run in; empty allows all. */
+  /** Regions that its requests may be sent to; empty allows all. */
   readonly allowedRegions: readonly RegionId[]
 }
 
-/** A key by its digest; a withdrawn key is kept so that no older grant revives it. */
+/** A key, identified by its digest. A withdrawn key is kept, so that it cannot be given again. */
 export interface KeyGrant {
   readonly digest: KeyDigest
   readonly workspace: WorkspaceId
   readonly state: 'given' | 'withdrawn'
 }
 
-/** An entry host that holds a part of every workspace's allowance. */
+/** A registered entry host with its share of every workspace's rate limit. */
 export interface EntryHost {
   readonly host: HostId
   readonly region: RegionId
   readonly zone: ZoneId
   readonly site: SiteId
-  /** Its part of every workspace's rate and burst, out of ALLOWANCE_PARTS. */
+  /** Share of every workspace's rate and burst, out of ALLOWANCE_PARTS. */
   readonly parts: number
 }
 
-/** The whole of a workspace's allowance, in parts that are divided among the entry hosts. */
+/** Number of parts into which a workspace's rate limit is divided among the entry hosts. */
 export const ALLOWANCE_PARTS = 10_000
 
-/** A backend server that operators want empty. */
+/** A backend server that operators are draining. */
 export interface Drain {
   readonly service: ServiceId
   readonly backend: BackendId
 }
 
-/** One life of a backend server that gets no new work any more, since it said that it leaves. */
+/** One incarnation of a backend server that announced its shutdown and gets no new requests. */
 export interface Retirement {
   readonly service: ServiceId
   readonly backend: BackendId
@@ -79,10 +79,10 @@
   readonly epoch: number
 }
 
-/** An availability zone whose backend servers get no new work. */
+/** An availability zone whose backend servers get no new requests. */
 export interface Evacuation { readonly zone: ZoneId }
 
-/** What an operator may ask for. */
+/** The commands that operators can send. */
 export type Command =
   | { readonly kind: 'draft-profile', readonly profile: ProfileId, readonly expectedVersion: number, readonly terms: ProfileTerms }
   | { readonly kind: 'approve-profile', readonly profile: ProfileId, readonly version: number }
@@ -99,10 +99,10 @@
   | { readonly kind: 'end-evacuation', readonly zone: ZoneId }
   | { readonly kind: 'retire-backend', readonly retirement: Retirement }
 
-/** What an operator is allowed to do. */
+/** A permission of an operator. */
 export type Role = 'draft' | 'approve' | 'assign'
 
-/** A command with who asked for it; the request id makes a resend return the first outcome. */
+/** A command with its operator. A resend with the same request id returns the first outcome. */
 export interface CommandEnvelope {
   readonly requestId: RequestId
   readonly operator: OperatorId
@@ -110,7 +110,7 @@
   readonly command: Command
 }
 
-/** Why a command changed nothing. */
+/** Why a command was rejected. A rejected command changes nothing. */
 export type CommandError =
   | { readonly kind: 'role-missing', readonly role: Role }
   | { readonly kind: 'version-conflict', readonly expected: number, readonly current: number }
@@ -124,14 +124,14 @@
   | { readonly kind: 'parts-in-use', readonly held: number }
   | { readonly kind: 'request-id-reused' }
 
-/** What a command that took force did. */
+/** The result of an applied command. */
 export interface CommandReceipt {
   readonly index: LogIndex
   /** The version of the changed entity; 0 for entities without versions. */
   readonly version: number
 }
 
-/** The first outcome of an operator's request, kept for its resends. */
+/** The first outcome of an operator's request, kept for resends. */
 export interface CommandRecord {
   readonly key: Id<'CommandRecord'>
   readonly fingerprint: string
@@ -139,13 +139,13 @@
   readonly error: CommandError | null
 }
 
-/** One committed change in the order of the log. */
+/** One committed log entry. The envelope is null for entries without a command. */
 export interface Change {
   readonly index: LogIndex
   readonly envelope: CommandEnvelope | null
 }
 
-/** The whole configuration as plain rows, for snapshots. */
+/** A snapshot of the whole configuration as plain rows. */
 export interface ConfigurationSnapshot {
   readonly index: LogIndex
   readonly profiles: readonly ProfileVersion[]
--- a/src/idempotency/types.ts
+++ b/src/idempotency/types.ts
@@ -18,7 +18,7 @@
 export interface RecordRow {
   readonly key: RecordKey
   readonly fingerprint: string
-  /** The exchange that was granted the claim. Its owner is an entry host, identified together with its epoch. */
+  /** The exchange that holds the claim; `owner` and `ownerEpoch` identify the process of its entry host. */
   claim: ExchangeId
   owner: HostId
   ownerEpoch: number
--- a/src/invariants/runInvariant.ts
+++ b/src/invariants/runInvariant.ts
@@ -1,10 +1,10 @@
 /** Invariant: a non-idempotent request runs at most once. */
 
-/** Requests that ran more than once. */
+/** Returns the number of requests that ran more than once. */
 export const countDuplicateRuns = (runs: ReadonlyMap<string, number>): number => {
-  let doubled = 0
+  let duplicates = 0
   for (const count of runs.values()) {
-    if (count > 1) doubled += 1
+    if (count > 1) duplicates += 1
   }
-  return doubled
+  return duplicates
 }
--- a/src/lookup/lookupSystem.ts
+++ b/src/lookup/lookupSystem.ts
@@ -129,7 +129,8 @@
   return rankings === null ? [] : chooseHosts(tables.rankings.ranking(tables, rankings, null).nearTiers, random)
 }
 
-// Sending callers to another region is a shift, and so is returning them. Both are limited by the shift cap.
+// Selects the host tiers for a look-up and counts it in the shift account. Sending callers to another region and returning them
+// are both shifts, and the cap limits both.
 const selectTiers = (tables: LookupTables, rankings: ServiceRankings, ranking: Ranking, now: Millis): ReadonlyArray<readonly RankedHost[]> | LookupError => {
   const { nearTiers, farHosts, farTiers } = ranking
   if (nearTiers.length === 0 && farHosts.length === 0) return { kind: 'no-entry-host' }
@@ -142,7 +143,7 @@
   }
   if (!isAwayOpen || farHosts.length === 0) return { kind: 'shift-capped' }
   account.away += 1
-  return farTier
+  return farTiers
 }
 
 const rejectLookup = (tables: LookupTables, query: LookupReceived, error: LookupError): LookupAnswered =>
--- a/src/plan/plan.spec.ts
+++ b/src/plan/plan.spec.ts
@@ -29,7 +29,7 @@
 const run = (configuration: ReturnType<typeof createConfiguration>, command: Command): unknown =>
   applyChange(configuration, { index: configuration.index + 1, envelope: { requestId: toId('same'), operator: toId('operator'), roles: ['assign'], command } })
 
-t.test('the longest prefix of the authority wins', async t => {
+t.test('matches the longest prefix of the authority', async t => {
   const table = new RouteTable()
   table.replace([route('short', '/a/'), route('long', '/a/b/'), route('other', '/a/', { authority: 'b.example' })])
   t.same(['/a/x', '/a/b/x?q=/a/', '/a/b', '/c/', '/a'].map(path => table.find('a.example', path)?.route ?? null), ['short', 'long', 'short', null, null])
@@ -37,7 +37,7 @@
   t.equal(table.find('c.example', '/a/'), undefined)
 })
 
-t.test('the highest version is in force, whatever comes after it; keys and services that it leaves out are gone', async t => {
+t.test('keeps the highest version and removes the keys and services that it does not contain', async t => {
   const configuration = createConfiguration()
   run(configuration, { kind: 'put-plan', plan: plan(4) })
   const older = run(configuration, { kind: 'put-plan', plan: plan(3, { routes: [] }) })
@@ -45,19 +45,19 @@
   t.matchSnapshot({ older, other, document: configuration.plan?.document, keys: [...configuration.keys.rows()], services: [...configuration.services.rows()] })
   run(configuration, { kind: 'put-plan', plan: plan(9, { workspaces: [{ workspace: toId('w'), keys: [toId('digest-2')], rank: 0, rate: 0, burst: 0, allowedRegions: [] }] }) })
   t.equal(configuration.keys.has(toId('digest-1')), false)
-  t.equal(configuration.records.size, 0, 'what may be repeated needs no memory of its first outcome')
+  t.equal(configuration.records.size, 0, 'no outcome is stored for an idempotent command')
   const copy = createConfiguration()
   installSnapshot(copy, snapshotWithoutDocument(takeSnapshot(configuration)))
   t.equal(copy.routes.find('a.example', '/a/1')?.route, 'r')
   t.equal(copy.plan?.document, null)
 })
 
-t.test('hosts that only obey a plan do not get its text', async t => {
-  const told = changeWithoutDocument({ index: 1, envelope: { requestId: toId('r'), operator: toId('o'), roles: [], command: { kind: 'put-plan', plan: plan(1) } } })
-  t.equal(told.envelope?.command.kind === 'put-plan' ? told.envelope.command.plan.document : 'missing', null)
+t.test('removes the plan document from a change', async t => {
+  const sent = changeWithoutDocument({ index: 1, envelope: { requestId: toId('r'), operator: toId('o'), roles: [], command: { kind: 'put-plan', plan: plan(1) } } })
+  t.equal(sent.envelope?.command.kind === 'put-plan' ? sent.envelope.command.plan.document : 'missing', null)
 })
 
-t.test('plans that cannot be obeyed are refused', async t => {
+t.test('rejects invalid plans', async t => {
   t.matchSnapshot([
     checkPlan(plan(1, { routes: [route('r', 'a/')] })),
     checkPlan(plan(1, { routes: [route('r', '/a/', { split: [] })] })),
@@ -66,7 +66,7 @@
   ].map(outcome => outcome.tag === 'error' ? outcome.error : 'accepted'))
 })
 
-t.test('a split is drawn in proportion to its weights', async t => {
+t.test('draws services in proportion to the weights of a split', async t => {
   const random = new SeededRandom(3)
   const split = [{ service: toId<Route['split'][number]['service']>('x'), weight: 90 }, { service: toId<Route['split'][number]['service']>('y'), weight: 10 }]
   let drawn = 0
@@ -76,7 +76,7 @@
   t.ok(drawn > 150 && drawn < 250, `${drawn} of 2000`)
 })
 
-t.test('regions of the route and of the workspace bind together', async t => {
+t.test('allows only regions that both the route and the workspace allow', async t => {
   const configuration = createConfiguration()
   run(configuration, { kind: 'put-plan', plan: plan(1, { routes: [route('r', '/a/', { allowedRegions: [toId('n'), toId('s')] })] }) })
   const request = { target: { kind: 'route', authority: 'a.example' }, path: '/a/1', affinity: 'object' } as unknown as RequestReceived
--- a/src/plan/planCheck.ts
+++ b/src/plan/planCheck.ts
@@ -1,10 +1,10 @@
-/** Finds what makes a plan invalid, whoever sent it. */
+/** Validates plans. */
 
 import { fail, ok } from '../core/outcome.js'
 import type { Outcome } from '../core/outcome.js'
 import type { Plan, Route } from './types.js'
 
-/** Why a plan is refused. */
+/** Why a plan was rejected. */
 export type PlanError =
   | { readonly kind: 'service-unknown', readonly route: string, readonly service: string }
   | { readonly kind: 'target-over-timeout', readonly route: string }
@@ -15,30 +15,30 @@
   | { readonly kind: 'place-twice', readonly route: string }
   | { readonly kind: 'key-shared', readonly workspace: string }
 
-/** A target this far above the timeout, in milliseconds, is a mistake rather than a loose aim. */
+/** A latency target that exceeds the timeout by this much is rejected as a mistake. */
 const MAX_TARGET_OVER_TIMEOUT_MS = 60_000
 
 const checkRoute = (route: Route, services: ReadonlySet<string>): PlanError | null => {
   if (!route.prefix.startsWith('/')) return { kind: 'prefix-without-slash', route: route.route }
   if (route.attempts < 1) return { kind: 'no-attempts', route: route.route }
   if (route.targetMs >= route.timeoutMs + MAX_TARGET_OVER_TIMEOUT_MS) return { kind: 'target-over-timeout', route: route.route }
-  let weights = 0
+  let totalWeight = 0
   for (const { service, weight } of route.split) {
     if (!services.has(service)) return { kind: 'service-unknown', route: route.route, service }
-    weights += weight
+    totalWeight += weight
   }
-  return weights > 0 ? null : { kind: 'no-weight', route: route.route }
+  return totalWeight > 0 ? null : { kind: 'no-weight', route: route.route }
 }
 
 const checkRoutes = (plan: Plan): PlanError | null => {
   const services = new Set<string>(plan.services.map(row => row.service))
-  const places = new Set<string>()
+  const matches = new Set<string>()
   for (const route of plan.routes) {
     const error = checkRoute(route, services)
     if (error !== null) return error
-    const place = `${route.authority} ${route.prefix}`
-    if (places.has(place)) return { kind: 'place-twice', route: route.route }
-    places.add(place)
+    const match = `${route.authority} ${route.prefix}`
+    if (matches.has(match)) return { kind: 'place-twice', route: route.route }
+    matches.add(match)
   }
   return null
 }
@@ -63,7 +63,7 @@
   return null
 }
 
-/** Checks a plan as a whole. */
+/** Returns the plan, or the first error found in it. */
 export const checkPlan = (plan: Plan): Outcome<Plan, PlanError> => {
   const error = checkRoutes(plan) ??
     checkUniqueNames(plan.routes.map(row => row.route)) ??
--- a/src/plan/planTerms.ts
+++ b/src/plan/planTerms.ts
@@ -1,14 +1,14 @@
-/** The terms that services of a plan run under where only the shift cap is given. */
+/** The steering terms for the services of a plan, derived from a shift cap. */
 
 import type { ProfileTerms } from './types.js'
 
-/** Changes of region are counted over windows of this length, in milliseconds. */
+/** Length of the window over which shifts between regions are counted. */
 const SHIFT_WINDOW_MS = 2_000
-/** Part of the shift cap that is used, since each host counts its own windows. */
+/** Fraction of the shift cap that is used. The margin is needed because the windows of different hosts are not aligned. */
 const SHIFT_CAP_FRACTION = 0.7
 const STALE_AFTER_MS = 60_000
 
-/** Terms under a cap on the part of a region's requests that may change region in a window, 0 to 1. */
+/** Returns terms for a cap on the fraction of a region's requests that may change region within one window, 0 to 1. */
 export const planTerms = (shiftCap: number): ProfileTerms => ({
   shiftCap: shiftCap * SHIFT_CAP_FRACTION,
   shiftWindowMs: SHIFT_WINDOW_MS,
--- a/src/plan/routeTable.ts
+++ b/src/plan/routeTable.ts
@@ -1,35 +1,35 @@
-/** Routes by authority; the longest prefix that begins a path wins. */
+/** Matches requests to routes by authority and longest path prefix. */
 
 import type { ServiceId } from '../core/id.js'
 import type { Route } from './types.js'
 
-/** All routes of the newest plan. */
+/** The routes of the current plan. */
 export class RouteTable {
   readonly #byAuthority = new Map<string, Route[]>()
-  /** The most urgent rank of any route to a service. */
+  /** The highest priority of any route to a service: its smallest rank. */
   readonly #firstRanks = new Map<ServiceId, number>()
   #size = 0
 
   get size (): number { return this.#size }
 
-  /** Takes the routes of another plan in place of all that it held. */
+  /** Replaces all routes. */
   replace (routes: readonly Route[]): void {
     this.#byAuthority.clear()
     this.#firstRanks.clear()
     this.#size = routes.length
     for (const route of routes) {
-      const known = this.#byAuthority.get(route.authority)
-      if (known === undefined) this.#byAuthority.set(route.authority, [route])
-      else known.push(route)
+      const routesOfAuthority = this.#byAuthority.get(route.authority)
+      if (routesOfAuthority === undefined) this.#byAuthority.set(route.authority, [route])
+      else routesOfAuthority.push(route)
       for (const { service } of route.split) this.#firstRanks.set(service, Math.min(route.rank, this.#firstRanks.get(service) ?? route.rank))
     }
-    for (const known of this.#byAuthority.values()) known.sort((a, b) => b.prefix.length - a.prefix.length)
+    for (const routesOfAuthority of this.#byAuthority.values()) routesOfAuthority.sort((a, b) => b.prefix.length - a.prefix.length)
   }
 
-  /** Whether no route to a service is more urgent than one of a rank. */
+  /** Whether no route to the service has a higher priority, that is a smaller rank, than the given one. */
   isFirstRank (service: ServiceId, rank: number): boolean { return rank <= (this.#firstRanks.get(service) ?? rank) }
 
-  /** The route of a request; the path may carry a query. */
+  /** Returns the route for a request. The path may include a query string. */
   find (authority: string, path: string): Route | undefined {
     for (const route of this.#byAuthority.get(authority) ?? []) {
       if (path.startsWith(route.prefix)) return route
--- a/tap-snapshots/src/announcement/announcement.spec.ts.test.cjs
+++ b/tap-snapshots/src/announcement/announcement.spec.ts.test.cjs
@@ -5,7 +5,7 @@
  * Make sure to inspect the output below.  Do not ignore changes!
  */
 'use strict'
-exports[`src/announcement/announcement.spec.ts > TAP > a server that is gone while a request still runs there is remembered without waking the host all the time > must match snapshot 1`] = `
+exports[`src/announcement/announcement.spec.ts > TAP > keeps a server that is gone while a request runs there, without a deadline that stays due > must match snapshot 1`] = `
 Object {
   "inFlight": 1,
   "state": "gone",
--- a/tap-snapshots/src/announcement/announcementTopic.spec.ts.test.cjs
+++ b/tap-snapshots/src/announcement/announcementTopic.spec.ts.test.cjs
@@ -5,33 +5,7 @@
  * Make sure to inspect the output below.  Do not ignore changes!
  */
 'use strict'
-exports[`src/announcement/announcementTopic.spec.ts > TAP > a server that starts again under its name begins anew, and a draining one stays so within its life > must match snapshot 1`] = `
-Array [
-  Object {
-    "a/one": "up 1/9",
-  },
-  Object {
-    "a/one": "draining 1/10",
-  },
-  Object {
-    "a/one": "draining 1/10",
-  },
-  Object {
-    "a/one": "up 2/1",
-  },
-  Object {
-    "a/one": "up 2/1",
-  },
-]
-`
-
-exports[`src/announcement/announcementTopic.spec.ts > TAP > a server that was taken for gone is back when any control host hears it > must match snapshot 1`] = `
-Object {
-  "a/one": "up 1/4",
-}
-`
-
-exports[`src/announcement/announcementTopic.spec.ts > TAP > an address belongs to the server that started last there, whatever an earlier one still says > must match snapshot 1`] = `
+exports[`src/announcement/announcementTopic.spec.ts > TAP > assigns an address to the server that started there last, despite later announcements of earlier servers > must match snapshot 1`] = `
 Array [
   Object {
     "a/old": "up 1/5",
@@ -59,3 +33,29 @@
   },
 ]
 `
+
+exports[`src/announcement/announcementTopic.spec.ts > TAP > resets the state when a server restarts, and keeps a draining server draining within one epoch > must match snapshot 1`] = `
+Array [
+  Object {
+    "a/one": "up 1/9",
+  },
+  Object {
+    "a/one": "draining 1/10",
+  },
+  Object {
+    "a/one": "draining 1/10",
+  },
+  Object {
+    "a/one": "up 2/1",
+  },
+  Object {
+    "a/one": "up 2/1",
+  },
+]
+`
+
+exports[`src/announcement/announcementTopic.spec.ts > TAP > restores a server marked gone when any control host reports a newer announcement > must match snapshot 1`] = `
+Object {
+  "a/one": "up 1/4",
+}
+`
--- a/tap-snapshots/src/plan/plan.spec.ts.test.cjs
+++ b/tap-snapshots/src/plan/plan.spec.ts.test.cjs
@@ -5,28 +5,7 @@
  * Make sure to inspect the output below.  Do not ignore changes!
  */
 'use strict'
-exports[`src/plan/plan.spec.ts > TAP > plans that cannot be obeyed are refused > must match snapshot 1`] = `
-Array [
-  Object {
-    "kind": "prefix-without-slash",
-    "route": "r",
-  },
-  Object {
-    "kind": "no-weight",
-    "route": "r",
-  },
-  Object {
-    "kind": "place-twice",
-    "route": "q",
-  },
-  Object {
-    "kind": "name-twice",
-    "name": "r",
-  },
-]
-`
-
-exports[`src/plan/plan.spec.ts > TAP > regions of the route and of the workspace bind together > must match snapshot 1`] = `
+exports[`src/plan/plan.spec.ts > TAP > allows only regions that both the route and the workspace allow > must match snapshot 1`] = `
 Object {
   "apart": "no-region",
   "both": Object {
@@ -59,7 +38,7 @@
 }
 `
 
-exports[`src/plan/plan.spec.ts > TAP > the highest version is in force, whatever comes after it; keys and services that it leaves out are gone > must match snapshot 1`] = `
+exports[`src/plan/plan.spec.ts > TAP > keeps the highest version and removes the keys and services that it does not contain > must match snapshot 1`] = `
 Object {
   "document": "text 4",
   "keys": Array [
@@ -104,3 +83,24 @@
   ],
 }
 `
+
+exports[`src/plan/plan.spec.ts > TAP > rejects invalid plans > must match snapshot 1`] = `
+Array [
+  Object {
+    "kind": "prefix-without-slash",
+    "route": "r",
+  },
+  Object {
+    "kind": "no-weight",
+    "route": "r",
+  },
+  Object {
+    "kind": "place-twice",
+    "route": "q",
+  },
+  Object {
+    "kind": "name-twice",
+    "name": "r",
+  },
+]
+`
