--- a/src/admission/lending.spec.ts
+++ b/src/admission/lending.spec.ts
@@ -40,7 +40,7 @@
   t.same(new Set(held), new Set([0]), 'lent tokens and held tokens stay within the burst')
 })
 
-t.test('lent tokens count against the burst until the loan expires or is settled', async t => {
+t.test('tokens that are lent count against the burst until the loan expires or is settled', async t => {
   const bucket = createBucket(0)
   refill(bucket, 10_000)
   lend(bucket, 'a', 3, 0, 10_000, lenderLoanExpiry(10_000))
--- a/src/announcement/announcementTopic.spec.ts
+++ b/src/announcement/announcementTopic.spec.ts
@@ -12,7 +12,7 @@
 const states = (tables: AnnouncementTables): Record<string, string> =>
   Object.fromEntries([...tables.backends.rows()].map(row => [row.key, `${row.announcement.state} ${row.announcement.epoch}/${row.announcement.sequence}`]))
 
-t.test('assigns an address to the server that started there last, despite later announcements of earlier servers', async t => {
+t.test('transfers an address to the server that started there last, despite later announcements of earlier servers', async t => {
   const tables = createTables()
   const seen: unknown[] = []
   const take = (announcement: Announcement): void => {
--- a/src/entry/entryWorld.ts
+++ b/src/entry/entryWorld.ts
@@ -128,7 +128,7 @@
   awayLimits: new RowTable<string, AwayLimitRow>(row => row.key),
   records: new RowTable<RecordKey, RecordRow>(row => row.key),
   claims: new RowTable<ExchangeId, ClaimRow>(row => row.exchange),
-  entryHostHistory: { startedAt: seed.now, current: [], changes: [], revision: -1 }
+  homeHistory: { startedAt: seed.now, current: [], changes: [], revision: -1 }
 })
 
 /** An entry host with empty tables. */
--- a/src/entry/readiness.ts
+++ b/src/entry/readiness.ts
@@ -14,7 +14,7 @@
 
 /** Ready with a confirmed configuration, a backend server in service and allowances that earn, until it begins to leave. */
 export const isReady = (tables: EntryTables, now: Millis): boolean => {
-  const { lifecycle, gossip, configuration, entryHostHistory: homeHistory } = tables
+  const { lifecycle, gossip, configuration, homeHistory } = tables
   if (lifecycle.phase !== 'serving' || gossip.confirmedAt === null || configuration.services.size === 0) return false
   // Before that it would refuse nearly every call as over its rate.
   return now >= lenderLoanExpiry(homeHistory.startedAt) && hasServer(tables)
--- a/src/idempotency/atMostOnce.spec.ts
+++ b/src/idempotency/atMostOnce.spec.ts
@@ -109,7 +109,7 @@
   t.matchSnapshot(describe(entry.outcomes))
 })
 
-t.test('latency of the claim: no record, records in the zone of the ticket, and records in three zones', async t => {
+t.test('the latency of a claim: no record, records in the zone of the ticket, and records in three zones', async t => {
   const latency = (placement: () => RecordPlacement, key: (n: number) => string): number => {
     const { fleet, entry } = build(6, placement)
     for (let n = 0; n < 50; n += 1) {
--- a/src/idempotency/claimSystem.ts
+++ b/src/idempotency/claimSystem.ts
@@ -78,13 +78,13 @@
 
   // Records each change of the entry hosts: a host that has just become a record host lacks the earlier claims.
   #trackEntryHosts (tick: ClaimTick): void {
-    const { entryHostHistory, configuration } = tick.tables
-    if (entryHostHistory.revision === configuration.entryHosts.revision) return
+    const { homeHistory, configuration } = tick.tables
+    if (homeHistory.revision === configuration.entryHosts.revision) return
     const hosts = [...configuration.entryHosts.rows()].map(({ host, zone }) => ({ host, zone: zone as string }))
-    if (entryHostHistory.current.length > 0) entryHostHistory.changes.push({ at: tick.now, hosts: entryHostHistory.current })
-    entryHostHistory.changes = entryHostHistory.changes.filter(change => tick.now - change.at < RECORD_RETENTION_MS)
-    entryHostHistory.current = hosts
-    entryHostHistory.revision = configuration.entryHosts.revision
+    if (homeHistory.current.length > 0) homeHistory.changes.push({ at: tick.now, hosts: homeHistory.current })
+    homeHistory.changes = homeHistory.changes.filter(change => tick.now - change.at < RECORD_RETENTION_MS)
+    homeHistory.current = hosts
+    homeHistory.revision = configuration.entryHosts.revision
   }
 
   #handleMessage (tick: ClaimTick, row: MessageReceived<RecordMessage>): void {
@@ -101,10 +101,10 @@
   }
 
   #startClaim (tick: ClaimTick, exchange: ExchangeRow): void {
-    const { claims, entryHostHistory, gossip } = tick.tables
+    const { claims, homeHistory, gossip } = tick.tables
     if (claims.has(exchange.exchange) || exchange.workspace === null || exchange.idempotencyKey === null) return
     const key = recordKey(exchange.workspace, exchange.idempotencyKey)
-    const recordHosts = this.placement.recordHosts(entryHostHistory.current, key, exchange.idempotencyKey)
+    const recordHosts = this.placement.recordHosts(homeHistory.current, key, exchange.idempotencyKey)
     const deadline = Math.min(exchange.deadline, tick.now + CLAIM_TIMEOUT_MS)
     claims.put({ exchange: exchange.exchange, key, recordHosts, votes: new Map(), deadline, isGranted: false })
     this.#nextExpiryAt = Math.min(this.#nextExpiryAt, deadline)
--- a/src/idempotency/recordKeeping.ts
+++ b/src/idempotency/recordKeeping.ts
@@ -17,7 +17,7 @@
 // Whether an earlier record of the key may exist that this host lacks. Its records are complete only since it started and
 // since it became a record host of the key; a ticket issued after that cannot have an earlier record.
 const mayLackRecord = (tables: RecordHostTables, placement: RecordPlacement, claim: Claim, now: Millis): boolean => {
-  const { startedAt, changes } = tables.entryHostHistory
+  const { startedAt, changes } = tables.homeHistory
   const self = tables.gossip.self.host
   const idempotencyKey = claim.key.slice(claim.key.indexOf('/') + 1)
   let completeSince = startedAt
--- a/src/idempotency/types.ts
+++ b/src/idempotency/types.ts
@@ -66,7 +66,7 @@
 export interface RecordTables {
   readonly records: RowTable<RecordKey, RecordRow>
   readonly claims: RowTable<ExchangeId, ClaimRow>
-  readonly entryHostHistory: {
+  readonly homeHistory: {
     readonly startedAt: Millis
     current: EntryHostsChange['hosts']
     changes: EntryHostsChange[]
--- a/src/plan/plan.spec.ts
+++ b/src/plan/plan.spec.ts
@@ -37,7 +37,7 @@
   t.equal(table.find('c.example', '/a/'), undefined)
 })
 
-t.test('keeps the highest version and removes the keys and services that it does not contain', async t => {
+t.test('the highest plan version is in force, and keys and services that it does not contain are removed', async t => {
   const configuration = createConfiguration()
   run(configuration, { kind: 'put-plan', plan: plan(4) })
   const older = run(configuration, { kind: 'put-plan', plan: plan(3, { routes: [] }) })
--- a/tap-snapshots/src/admission/lending.spec.ts.test.cjs
+++ b/tap-snapshots/src/admission/lending.spec.ts.test.cjs
@@ -15,14 +15,6 @@
 }
 `
 
-exports[`src/admission/lending.spec.ts > TAP > lent tokens count against the burst until the loan expires or is settled > a duplicate settlement is ignored 1`] = `
-Object {
-  "blocked": 2,
-  "full": 5,
-  "settled": 3,
-}
-`
-
 exports[`src/admission/lending.spec.ts > TAP > refills up to the burst and spends whole tokens only > must match snapshot 1`] = `
 Object {
   "earned": Array [
@@ -64,3 +56,11 @@
   "third": Array [],
 }
 `
+
+exports[`src/admission/lending.spec.ts > TAP > tokens that are lent count against the burst until the loan expires or is settled > a duplicate settlement is ignored 1`] = `
+Object {
+  "blocked": 2,
+  "full": 5,
+  "settled": 3,
+}
+`
--- a/tap-snapshots/src/idempotency/atMostOnce.spec.ts.test.cjs
+++ b/tap-snapshots/src/idempotency/atMostOnce.spec.ts.test.cjs
@@ -18,14 +18,6 @@
 ]
 `
 
-exports[`src/idempotency/atMostOnce.spec.ts > TAP > latency of the claim: no record, records in the zone of the ticket, and records in three zones > median in virtual milliseconds with 27 ms one way between regions 1`] = `
-Object {
-  "none": 10,
-  "plainKey": 64,
-  "ticket": 11,
-}
-`
-
 exports[`src/idempotency/atMostOnce.spec.ts > TAP > refuses a resend while the first request runs and after its entry host has died > first already running, then the earlier outcome is unknown 1`] = `
 Array [
   "m1-1: refused already-running (not-run)",
@@ -48,3 +40,11 @@
   "m1-1: served  (run)",
 ]
 `
+
+exports[`src/idempotency/atMostOnce.spec.ts > TAP > the latency of a claim: no record, records in the zone of the ticket, and records in three zones > median in virtual milliseconds with 27 ms one way between regions 1`] = `
+Object {
+  "none": 10,
+  "plainKey": 64,
+  "ticket": 11,
+}
+`
--- a/tap-snapshots/src/plan/plan.spec.ts.test.cjs
+++ b/tap-snapshots/src/plan/plan.spec.ts.test.cjs
@@ -38,7 +38,28 @@
 }
 `
 
-exports[`src/plan/plan.spec.ts > TAP > keeps the highest version and removes the keys and services that it does not contain > must match snapshot 1`] = `
+exports[`src/plan/plan.spec.ts > TAP > rejects invalid plans > must match snapshot 1`] = `
+Array [
+  Object {
+    "kind": "prefix-without-slash",
+    "route": "r",
+  },
+  Object {
+    "kind": "no-weight",
+    "route": "r",
+  },
+  Object {
+    "kind": "place-twice",
+    "route": "q",
+  },
+  Object {
+    "kind": "name-twice",
+    "name": "r",
+  },
+]
+`
+
+exports[`src/plan/plan.spec.ts > TAP > the highest plan version is in force, and keys and services that it does not contain are removed > must match snapshot 1`] = `
 Object {
   "document": "text 4",
   "keys": Array [
@@ -83,24 +104,3 @@
   ],
 }
 `
-
-exports[`src/plan/plan.spec.ts > TAP > rejects invalid plans > must match snapshot 1`] = `
-Array [
-  Object {
-    "kind": "prefix-without-slash",
-    "route": "r",
-  },
-  Object {
-    "kind": "no-weight",
-    "route": "r",
-  },
-  Object {
-    "kind": "place-twice",
-    "route": "q",
-  },
-  Object {
-    "kind": "name-twice",
-    "name": "r",
-  },
-]
-`
