--- a/src/admission/allowancePolicy.ts
+++ b/src/admission/allowancePolicy.ts
@@ -64,9 +64,9 @@
   readonly lookaheadMs: Millis
   /** How long a request is held for borrowed tokens. */
   readonly holdMs: Millis
-  /** Default pause between two rounds of token requests. */
+  /** Pause between two rounds of token requests. */
   readonly askIntervalMs: Millis
-  /** Default number of hosts that receive a token request in one round. */
+  /** Number of hosts that receive a token request in one round. */
   readonly maxLenders: number
   /** Backoff after a round that brought no token. Until it ends, no host is asked and requests are refused without being held. */
   readonly exhaustedBackoffMs: Millis
--- a/src/announcement/announcementSystem.ts
+++ b/src/announcement/announcementSystem.ts
@@ -20,12 +20,12 @@
 type AnnouncementTick = Tick<RumorTables, { kind: string }, unknown>
 
 const handleAnnouncement = (tick: AnnouncementTick, announcement: Announcement): void => {
-  const isRelevant = mergeAnnouncement(tick.tables, announcement, tick.now)
+  const shouldSpread = mergeAnnouncement(tick.tables, announcement, tick.now)
   const row = tick.tables.backends.get(backendKey(announcement))
   // An announcement of another epoch was not merged and must not keep the recorded process alive.
   if (row === undefined || row.announcement.epoch !== announcement.epoch) return
   row.heardAt = tick.now
-  if (isRelevant) spreadRumor(tick, announcementTopic, { topic: 'announcement', announcement: row.announcement })
+  if (shouldSpread) spreadRumor(tick, announcementTopic, { topic: 'announcement', announcement: row.announcement })
 }
 
 const expire = (tick: AnnouncementTick, row: BackendRow): void => {
--- a/src/announcement/types.ts
+++ b/src/announcement/types.ts
@@ -26,7 +26,7 @@
 export interface BackendRow {
   readonly key: string
   announcement: Announcement
-  /** When this host last received an announcement or a report of the server; null when it knows the server by gossip only. */
+  /** When this host last received an announcement or a report of the server; null when the server is known by gossip only. */
   heardAt: Millis | null
   /** When this host first received the current epoch. */
   firstSeenAt: Millis
--- a/src/idempotency/atMostOnce.spec.ts
+++ b/src/idempotency/atMostOnce.spec.ts
@@ -165,8 +165,8 @@
       fleet.runFor(step.pause)
     }
     fleet.runFor(10_000)
-    const doubled = countDuplicateRuns(entry.runs)
-    if (doubled > 0) throw new Error(`${doubled} deposits ran twice`)
+    const duplicates = countDuplicateRuns(entry.runs)
+    if (duplicates > 0) throw new Error(`${duplicates} deposits ran twice`)
   })
   const numRuns = Number(process.env.RHUBARBSEAM_RUNS ?? 25)
   t.doesNotThrow(() => { fc.assert(property, { endOnFailure: process.env.RHUBARBSEAM_SHRINK === undefined, seed: Number(process.env.RHUBARBSEAM_SEED ?? 20261204), numRuns }) })
--- a/src/idempotency/claimSystem.ts
+++ b/src/idempotency/claimSystem.ts
@@ -57,6 +57,7 @@
   }
 }
 
+/** Votes that decide a claim without a majority, in order of precedence. */
 const DECISIVE_VOTES: ReadonlyArray<ClaimVote['kind']> = ['finished', 'mismatch', 'unknown', 'running']
 
 export class ClaimSystem implements System<ClaimTables, ClaimInput, ClaimOutput> {
--- a/src/idempotency/recordPlacement.ts
+++ b/src/idempotency/recordPlacement.ts
@@ -22,7 +22,7 @@
   return match?.[1] === undefined ? null : { zone: match[1], issuedAt: Number(match[2]) }
 }
 
-/** Creates a ticket whose records are stored in the given zone. Reads the clock, so that systems must not call it. */
+/** Creates a ticket whose records are stored in the given zone. Reads the clock and random bytes, so systems must not call it. */
 export const createTicket = (zone: string): string => `${zone}.${Date.now()}.${randomBytes(12).toString('base64url')}`
 
 const hashWeight = (key: string, host: HostId): string => createHash('sha256').update(`${key}\n${host}`).digest('hex')
