--- a/src/admission/admissionSystem.ts
+++ b/src/admission/admissionSystem.ts
@@ -6,10 +6,10 @@
 import type { Workspace } from '../configuration/types.js'
 import { needsClaim } from '../idempotency/claimSystem.js'
 import { createRefusal } from '../refusal/refusal.js'
-import { noteRefusal } from '../exchange/refusalNote.js'
+import { journalRefusal } from '../exchange/refusalJournal.js'
 import type { EventFacts } from '../journal/eventRegistry.js'
 import type { JournalTables } from '../journal/journal.js'
-import type { ExchangeRow, ExchangeTables, Refused } from '../exchange/types.js'
+import type { ExchangeRow, ExchangeTables, RequestRefused } from '../exchange/types.js'
 import type { MessageReceived } from '../membership/types.js'
 import { LOAN_DURATION_MS, countArrival, createAllowance, lend, lenderLoanExpiry, nextCreditExpiry, refill, resize, applySettlement, takePendingSettlements, takeToken, updateDemand } from './allowanceBucket.js'
 import { isGrantFresh } from './allowancePolicy.js'
@@ -23,7 +23,7 @@
 const MS_PER_SECOND = 1_000
 
 type AdmittingTables = AllowanceTables & ExchangeTables & JournalTables
-type AdmissionTick = AllowanceTick & { readonly tables: AdmittingTables, emit (row: Refused): void }
+type AdmissionTick = AllowanceTick & { readonly tables: AdmittingTables, emit (row: RequestRefused): void }
 
 /** Returns the token bucket of a workspace, created if missing and resized to this host's share of the current configuration. */
 export const ensureAllowance = (tables: AllowanceTables, workspace: Workspace, now: Millis): AllowanceRow => {
@@ -153,7 +153,7 @@
 
   #refuse (tick: AdmissionTick, exchange: ExchangeRow): void {
     tick.tables.exchanges.remove(exchange.exchange)
-    noteRefusal(tick, exchange, 'over-rate', this.#refusalFacts(tick, exchange))
+    journalRefusal(tick, exchange, 'over-rate', this.#refusalFacts(tick, exchange))
     tick.emit(createRefusal(exchange.exchange, 'over-rate'))
   }
 
--- a/src/announcement/announcementTopic.ts
+++ b/src/announcement/announcementTopic.ts
@@ -119,10 +119,10 @@
   key: rumor => `announcement/${backendKey(rumor.announcement)}`,
   // Leaves out the sequence: it increases with each announcement and matters only where the server announces itself.
   version: ({ announcement }) => `${announcement.epoch} ${announcement.state} ${announcement.slots} ${announcement.target.port} ${announcement.coldMs > 0 ? 'cold' : 'warm'}`,
-  isRepeated: true,
+  isRetransmitted: true,
   merge: (tick, rumor) => mergeAnnouncement(tick.tables, rumor.announcement, tick.now),
   all: function * (tables) {
     for (const row of tables.backends.rows()) yield { topic: 'announcement', announcement: row.announcement }
   },
-  aged: ({ announcement }, restedMs) => ({ topic: 'announcement', announcement: { ...announcement, coldMs: Math.max(0, announcement.coldMs - restedMs) } })
+  withAddedAge: ({ announcement }, restedMs) => ({ topic: 'announcement', announcement: { ...announcement, coldMs: Math.max(0, announcement.coldMs - restedMs) } })
 }
--- a/src/backend-choice/backendChoice.ts
+++ b/src/backend-choice/backendChoice.ts
@@ -17,7 +17,7 @@
 const load = (row: BackendRow): number => row.inFlight / row.announcement.slots
 
 /** Two random servers of the nearest zone that has any, and the less loaded of them: herds form less easily than behind the minimum. */
-export class TwoChoices implements BackendChoice {
+export class PowerOfTwoChoices implements BackendChoice {
   readonly name = 'two-choices'
 
   choose (input: ChoiceInput): BackendRow | undefined {
--- a/src/backend-choice/candidates.ts
+++ b/src/backend-choice/candidates.ts
@@ -51,7 +51,7 @@
 }
 
 /** Why a server is not to be used whatever its load; null when it is in service. */
-export const findOutage = (tables: CandidateTables, row: BackendRow): 'draining' | 'gone' | 'evacuated' | null => {
+export const findOutOfServiceReason = (tables: CandidateTables, row: BackendRow): 'draining' | 'gone' | 'evacuated' | null => {
   const { announcement } = row
   if (announcement.state !== 'up') return announcement.state
   const { drains, retirements, evacuations } = tables.configuration
@@ -69,7 +69,7 @@
 
 /** Why a server gets no new work now; null when it may. */
 export const findObstacle = (tables: CandidateTables, row: BackendRow, now: Millis, isFirstRank = true): Obstacle | null => {
-  const outage = findOutage(tables, row)
+  const outage = findOutOfServiceReason(tables, row)
   if (outage !== null) return outage
   if (row.ejectedUntil > now) return 'ejected'
   if (isSilent(row, now)) return 'silent'
@@ -97,7 +97,7 @@
   const up: BackendRow[] = []
   const sound: BackendRow[] = []
   for (const row of tables.backends.group(service)) {
-    if (findOutage(tables, row) !== null || !isAllowed(allowedRegions, row)) continue
+    if (findOutOfServiceReason(tables, row) !== null || !isAllowed(allowedRegions, row)) continue
     up.push(row)
     if (row.ejectedUntil <= now && !isSilent(row, now) && !isCold(row, now)) sound.push(row)
   }
@@ -107,7 +107,7 @@
 /** Whether any server of the service is up, busy or not; in one region, or anywhere. */
 export const hasLiveServer = (tables: CandidateTables, service: ServiceId, region: RegionId | null): boolean => {
   for (const row of tables.backends.group(service)) {
-    if (findOutage(tables, row) !== null) continue
+    if (findOutOfServiceReason(tables, row) !== null) continue
     if (region === null || row.announcement.region === region) return true
   }
   return false
--- a/src/control/controlProcess.ts
+++ b/src/control/controlProcess.ts
@@ -51,7 +51,7 @@
 })
 
 /** Writes the first replica of a new group into the data folder. Every founder does this once, and only once. */
-export const foundReplica = (settings: ControlSettings): Outcome<null, StartError> => {
+export const createFoundingReplica = (settings: ControlSettings): Outcome<null, StartError> => {
   const group: Group = { voters: settings.founders.map(founderOf), learners: [] }
   return createReplica(settings.dataFolder, foundingImage(toId<ReplicaId>(`${settings.host}#0`), group))
 }
@@ -85,7 +85,7 @@
     reportExpiryMs: ANNOUNCEMENT_EXPIRY_MS,
     metrics: settings.metrics,
     log: createLog(settings.host, settings.log.level),
-    createEdge: ({ tables, push }) => {
+    createFrontEnd: ({ tables, push }) => {
       const server = new OperatorServer({ listen: settings.operators, operators: watchOperators(settings.operatorsFile, operators.value), tables, now: monotonicClock, push })
       return {
         listeners: [{ what: 'operators', address: settings.operators, listen: async () => await server.listen() }],
--- a/src/entry/readiness.ts
+++ b/src/entry/readiness.ts
@@ -1,13 +1,13 @@
 /** Whether an entry host can serve callers. */
 
 import { lenderLoanExpiry } from '../admission/allowanceBucket.js'
-import { findOutage } from '../backend-choice/candidates.js'
+import { findOutOfServiceReason } from '../backend-choice/candidates.js'
 import type { Millis } from '../core/tick.js'
 import type { EntryTables } from './types.js'
 
 const hasServer = (tables: EntryTables): boolean => {
   for (const row of tables.backends.rows()) {
-    if (findOutage(tables, row) === null) return true
+    if (findOutOfServiceReason(tables, row) === null) return true
   }
   return false
 }
--- a/src/exchange/placementCount.ts
+++ b/src/exchange/placementCount.ts
@@ -3,11 +3,11 @@
 import type { RegionId, ServiceId } from '../core/id.js'
 import { findApprovedTerms } from '../configuration/configurationTables.js'
 import { awayByCapacity } from '../shift/capacityPlan.js'
-import { findAwayLimit, findShift, openShift, shiftSubjectOf } from '../shift/shiftAccount.js'
+import { findAwayLimit, findShiftAccount, openShift, shiftSubjectOf } from '../shift/shiftAccount.js'
 import type { ShiftTables } from '../shift/types.js'
-import { profileOf } from './refusalNote.js'
+import { profileOf } from './refusalJournal.js'
 import type { AnnouncementTables } from '../announcement/types.js'
-import type { NoteTick } from './refusalNote.js'
+import type { NoteTick } from './refusalJournal.js'
 import type { ExchangeRow } from './types.js'
 
 /** What counting needs of a tick. */
@@ -22,7 +22,7 @@
     exchange.placement = 'unplaced'
     const subject = shiftSubjectOf(exchange)
     if (exchange.route !== null && !tick.tables.shifts.has(subject)) openShift(tick.tables, subject, awayByCapacity(tick.tables, null, tick.tables.gossip.self.region), tick.now)
-    findShift(tick.tables, subject, terms.shiftWindowMs, tick.now).total += 1
+    findShiftAccount(tick.tables, subject, terms.shiftWindowMs, tick.now).total += 1
   }
 }
 
@@ -31,7 +31,7 @@
   const { tables, now } = tick
   const terms = findApprovedTerms(tables.configuration, exchange.service)
   if (terms === null || exchange.allowedRegions.length > 0) return
-  const account = findShift(tables, shiftSubjectOf(exchange), terms.shiftWindowMs, now)
+  const account = findShiftAccount(tables, shiftSubjectOf(exchange), terms.shiftWindowMs, now)
   exchange.isAway = region !== tables.gossip.self.region
   if (!exchange.isAway) {
     if (exchange.placement === 'unplaced') account.home += 1
@@ -43,5 +43,5 @@
   exchange.placement = 'away'
   findAwayLimit(tables, exchange.service, region).running += 1
   const { total, away, baseline } = account
-  tables.journal.note({ at: now, event: 'shift', subject: exchange.exchange, facts: { service: exchange.service, to: region, total, away, baseline }, profile: profileOf(tables, exchange.service) })
+  tables.journal.append({ at: now, event: 'shift', subject: exchange.exchange, facts: { service: exchange.service, to: region, total, away, baseline }, profile: profileOf(tables, exchange.service) })
 }
--- a/src/exchange/requestSystem.ts
+++ b/src/exchange/requestSystem.ts
@@ -14,16 +14,16 @@
 import type { JournalTables } from '../journal/journal.js'
 import type { SuspicionPolicy } from '../suspicion/suspicionPolicy.js'
 import type { SuspicionTables } from '../suspicion/types.js'
-import { findBounds, findDestination } from './destination.js'
+import { findConstraints, findDestination } from './destination.js'
 import type { Bounds, Destination } from './destination.js'
-import { noteRefusal } from './refusalNote.js'
+import { journalRefusal } from './refusalJournal.js'
 import { isServing } from './lifecycle.js'
 import { createRefusal } from '../refusal/refusal.js'
-import type { CallerLeft, ExchangeRow, ExchangeTables, RefusalReason, Refused, RequestReceived } from './types.js'
+import type { CallerLeft, ExchangeRow, ExchangeTables, RefusalReason, RequestRefused, RequestReceived } from './types.js'
 
 type RequestTables = ExchangeTables & LookupTables & KeyTables & SuspicionTables & JournalTables
 type RequestInput = RequestReceived | CallerLeft | { readonly kind: 'other' }
-type RequestTick = Tick<RequestTables, RequestInput, Refused>
+type RequestTick = Tick<RequestTables, RequestInput, RequestRefused>
 
 interface Admittance { readonly workspace: Workspace | null, readonly service: Service, readonly bounds: Bounds }
 
@@ -50,7 +50,7 @@
   if (typeof destination === 'string') return tables.gossip.confirmedAt === null ? 'configuration-not-loaded' : destination
   const workspace = checkWorkspace(tables, destination, request, now)
   if (typeof workspace === 'string') return workspace
-  const bounds = findBounds(tables.configuration, destination, workspace, request)
+  const bounds = findConstraints(tables.configuration, destination, workspace, request)
   return typeof bounds === 'string' ? bounds : { workspace, service: destination.service, bounds }
 }
 
@@ -99,7 +99,7 @@
 }
 
 /** The system of arriving requests. */
-export class RequestSystem implements System<RequestTables, RequestInput, Refused> {
+export class RequestSystem implements System<RequestTables, RequestInput, RequestRefused> {
   readonly name = 'request'
 
   constructor (readonly suspicion: SuspicionPolicy) {}
@@ -127,7 +127,7 @@
     }
     const service = namedService(request)
     const alternatives = helpsElsewhere.has(verdict) ? alternativesTo(tick, service) : []
-    noteRefusal(tick, { exchange: request.exchange, service }, verdict)
+    journalRefusal(tick, { exchange: request.exchange, service }, verdict)
     tick.emit(createRefusal(request.exchange, verdict, { alternatives }))
   }
 }
--- a/src/idempotency/claimSystem.ts
+++ b/src/idempotency/claimSystem.ts
@@ -5,7 +5,7 @@
 import type { Millis, System, Tick } from '../core/tick.js'
 import type { Configuration } from '../configuration/configurationTables.js'
 import { createRefusal } from '../refusal/refusal.js'
-import type { ExchangeRow, ExchangeTables, RefusalReason, Refused } from '../exchange/types.js'
+import type { ExchangeRow, ExchangeTables, RefusalReason, RequestRefused } from '../exchange/types.js'
 import type { MessageReceived, MessageSent } from '../membership/types.js'
 import { majorityCount, recordKey } from './recordPlacement.js'
 import type { RecordPlacement } from './recordPlacement.js'
@@ -18,7 +18,7 @@
 
 export type ClaimTables = RecordHostTables & ExchangeTables & { readonly configuration: Configuration }
 type ClaimInput = MessageReceived<RecordMessage> | { readonly kind: 'other' }
-type ClaimOutput = MessageSent<RecordMessage> | Refused | AnswerReplayed
+type ClaimOutput = MessageSent<RecordMessage> | RequestRefused | AnswerReplayed
 export type ClaimTick = Tick<ClaimTables, ClaimInput, ClaimOutput>
 
 /** Whether an exchange must claim its idempotency key before it runs. */
--- a/src/lookup/lookupSystem.ts
+++ b/src/lookup/lookupSystem.ts
@@ -8,7 +8,7 @@
 import type { ProfileTerms } from '../plan/types.js'
 import type { Configuration } from '../configuration/configurationTables.js'
 import type { Member, MembershipTables } from '../membership/types.js'
-import { findShift, openWays } from '../shift/shiftAccount.js'
+import { findShiftAccount, findAllowedPlacements } from '../shift/shiftAccount.js'
 import type { ShiftTables } from '../shift/types.js'
 import type { BlockTable } from './blockTable.js'
 import { isServingEntry } from '../membership/entryHosts.js'
@@ -134,9 +134,9 @@
 const selectTiers = (tables: LookupTables, rankings: ServiceRankings, ranking: Ranking, now: Millis): ReadonlyArray<readonly RankedHost[]> | LookupError => {
   const { nearTiers, farHosts, farTiers } = ranking
   if (nearTiers.length === 0 && farHosts.length === 0) return { kind: 'no-entry-host' }
-  const account = findShift(tables, rankings.subject, rankings.terms.shiftWindowMs, now)
+  const account = findShiftAccount(tables, rankings.subject, rankings.terms.shiftWindowMs, now)
   account.total += 1
-  const { isHomeOpen, isAwayOpen } = openWays(account, rankings.terms)
+  const { isHomeOpen, isAwayOpen } = findAllowedPlacements(account, rankings.terms)
   if (nearTiers.length > 0 && (isHomeOpen || farHosts.length === 0)) {
     account.home += 1
     return nearTiers
--- a/src/plan/plan.spec.ts
+++ b/src/plan/plan.spec.ts
@@ -4,7 +4,7 @@
 import { applyChange } from '../configuration/applyChange.js'
 import { createConfiguration, installSnapshot, takeSnapshot } from '../configuration/configurationTables.js'
 import type { Command } from '../configuration/types.js'
-import { drawPart, findBounds, findDestination } from '../exchange/destination.js'
+import { pickSplitPart, findConstraints, findDestination } from '../exchange/destination.js'
 import type { RequestReceived } from '../exchange/types.js'
 import { ordinaryTerms } from '../stand-ins/configurationBuilder.js'
 import { checkPlan } from './planCheck.js'
@@ -71,7 +71,7 @@
   const split = [{ service: toId<Route['split'][number]['service']>('x'), weight: 90 }, { service: toId<Route['split'][number]['service']>('y'), weight: 10 }]
   let drawn = 0
   for (let count = 0; count < 2_000; count += 1) {
-    if (drawPart(split, random)?.service === 'y') drawn += 1
+    if (pickSplitPart(split, random)?.service === 'y') drawn += 1
   }
   t.ok(drawn > 150 && drawn < 250, `${drawn} of 2000`)
 })
@@ -85,8 +85,8 @@
   const workspace = configuration.workspaces.get(toId('w'))
   if (workspace === undefined) throw new Error('no workspace')
   t.matchSnapshot({
-    routeOnly: findBounds(configuration, destination, workspace, request),
-    both: findBounds(configuration, destination, { ...workspace, allowedRegions: [toId('s'), toId('m')] }, request),
-    apart: findBounds(configuration, destination, { ...workspace, allowedRegions: [toId('m')] }, request)
+    routeOnly: findConstraints(configuration, destination, workspace, request),
+    both: findConstraints(configuration, destination, { ...workspace, allowedRegions: [toId('s'), toId('m')] }, request),
+    apart: findConstraints(configuration, destination, { ...workspace, allowedRegions: [toId('m')] }, request)
   })
 })
--- a/src/stand-ins/fleet.ts
+++ b/src/stand-ins/fleet.ts
@@ -109,7 +109,7 @@
 
   /** Where and as whom an operator calls. */
   target (operator: OperatorName): CallTarget {
-    return { controls: this.controlHosts.map(host => host.addresses.operators ?? ''), token: this.#tokens[operator] }
+    return { controlAddresses: this.controlHosts.map(host => host.addresses.operators ?? ''), token: this.#tokens[operator] }
   }
 
   async command (operator: OperatorName, command: unknown): Promise<unknown> { return await this.call(operator, 'POST', '/v1/commands', command) }
--- a/src/stand-ins/virtualEntry.ts
+++ b/src/stand-ins/virtualEntry.ts
@@ -10,7 +10,7 @@
 import { createEntryWorld, defaultPolicies } from '../entry/entryWorld.js'
 import type { EntryPolicies } from '../entry/entryWorld.js'
 import type { EntryInput, EntryOutput, EntryTables } from '../entry/types.js'
-import type { AttemptResult, AttemptStarted, Refused, RequestReceived } from '../exchange/types.js'
+import type { AttemptResult, AttemptStarted, RequestRefused, RequestReceived } from '../exchange/types.js'
 import { BlockTable } from '../lookup/blockTable.js'
 import type { Member, Vouch } from '../membership/types.js'
 import type { VirtualFleet, VirtualNode } from './virtualFleet.js'
@@ -200,7 +200,7 @@
     }
   }
 
-  #endRefused (row: Refused): void { this.#end(row.exchange, 'refused', row.reason, row.ran) }
+  #endRefused (row: RequestRefused): void { this.#end(row.exchange, 'refused', row.reason, row.ran) }
 
   // An idempotent request may run again; only the others must run at most once.
   #countRun (row: AttemptStarted): void {
--- a/src/warmup/coldGate.ts
+++ b/src/warmup/coldGate.ts
@@ -2,7 +2,7 @@
 
 import type { BackendRow } from '../announcement/types.js'
 import type { Configuration } from '../configuration/configurationTables.js'
-import { isAmongFirst } from '../core/rendezvous.js'
+import { isAmongTopRanked } from '../core/rendezvous.js'
 import type { Millis } from '../core/tick.js'
 import type { MembershipTables } from '../membership/types.js'
 
@@ -35,7 +35,7 @@
   if (warmup === null) return true
   row.coldSendTimes = row.coldSendTimes.filter(at => now - at < SECOND)
   if (row.coldSendTimes.length + 1 > warmup.ratePerS / COLD_SENDERS) return false
-  return isAmongFirst(row.key, tables.gossip.self.host, possibleSenders(tables, row), COLD_SENDERS)
+  return isAmongTopRanked(row.key, tables.gossip.self.host, possibleSenders(tables, row), COLD_SENDERS)
 }
 
 /** Counts a request that is sent to a cold server. */
