Wording of the limits: allowances, idempotency records, keys, look-ups, plans, configuration, announcements, invariants

Names are the terms of the field (token bucket, loan expiry, record hosts, claims); constants carry their unit.

--- a/src/admission/admissionSystem.ts
+++ b/src/admission/admissionSystem.ts
@@ -1,4 +1,4 @@
-/** Grants each request one token of its workspace, holds it briefly for tokens from elsewhere, or refuses it. */
+/** Enforces the rate limit of each workspace: admits a request for one token, holds it briefly while tokens are borrowed, or refuses it. */
 
 import type { WorkspaceId } from '../core/id.js'
 import { NEVER } from '../core/tick.js'
@@ -11,22 +11,22 @@
 import type { JournalTables } from '../journal/journal.js'
 import type { ExchangeRow, ExchangeTables, RequestRefused } from '../exchange/types.js'
 import type { MessageReceived } from '../membership/types.js'
-import { LOAN, countArrival, createAllowance, lend, loanEnd, nextCreditEnd, refill, resize, takeSettlement, takeSettlementsFor, takeToken, updateDemand } from './allowanceBucket.js'
+import { LOAN_DURATION_MS, countArrival, createAllowance, lend, lenderLoanExpiry, nextCreditExpiry, refill, resize, applySettlement, takePendingSettlements, takeToken, updateDemand } from './allowanceBucket.js'
 import { isGrantFresh } from './allowancePolicy.js'
 import type { AllowancePolicy, AllowanceTables, AllowanceTick } from './allowancePolicy.js'
 import type { AllowanceMessage, AllowanceRow } from './types.js'
 
-/** How often held requests are looked at again without new tokens from elsewhere. */
-const RECHECK: Millis = 10
-/** A lender keeps back what its own callers are expected to need in this time. */
-const LENDER_RESERVE: Millis = 100
+/** Interval at which held requests are checked again while no borrowed tokens arrive. */
+const RECHECK_INTERVAL_MS: Millis = 10
+/** A lender reserves the tokens that its own callers are expected to need within this time. */
+const LENDER_RESERVE_MS: Millis = 100
 const MS_PER_SECOND = 1_000
 
 type AdmittingTables = AllowanceTables & ExchangeTables & JournalTables
 type AdmissionTick = AllowanceTick & { readonly tables: AdmittingTables, emit (row: RequestRefused): void }
 
-/** The bucket of a workspace, sized to this host's part of the present configuration. */
-export const findAllowance = (tables: AllowanceTables, workspace: Workspace, now: Millis): AllowanceRow => {
+/** Returns the token bucket of a workspace, created if missing and resized to this host's share of the current configuration. */
+export const ensureAllowance = (tables: AllowanceTables, workspace: Workspace, now: Millis): AllowanceRow => {
   let row = tables.allowances.get(workspace.workspace)
   if (row === undefined) {
     row = createAllowance(workspace.workspace, now)
@@ -37,45 +37,44 @@
   return row
 }
 
-/** The system of admission. */
 export class AdmissionSystem implements System<AdmittingTables, { kind: string }, unknown> {
   readonly name = 'admission'
-  #recheckAt: Millis = NEVER
-  #settleAt: Millis = NEVER
+  #nextRecheckAt: Millis = NEVER
+  #nextSettlementAt: Millis = NEVER
   #configurationIndex = -1
 
   constructor (readonly policy: AllowancePolicy) {}
 
   run (tick: AdmissionTick): void {
-    this.#prepare(tick)
+    this.#createBuckets(tick)
     for (const row of tick.inbox) {
-      if ((row as { kind: string }).kind === 'message') this.#takeMessage(tick, row as MessageReceived<AllowanceMessage>)
+      if ((row as { kind: string }).kind === 'message') this.#handleMessage(tick, row as MessageReceived<AllowanceMessage>)
     }
-    this.#recheckAt = NEVER
+    this.#nextRecheckAt = NEVER
     if (tick.tables.exchanges.groupSize('admission') > 0) this.#admitAll(tick)
-    if (tick.now >= this.#settleAt) this.#settle(tick)
+    if (tick.now >= this.#nextSettlementAt) this.#sendSettlements(tick)
   }
 
-  deadline (): Millis { return Math.min(this.#recheckAt, this.#settleAt) }
+  deadline (): Millis { return Math.min(this.#nextRecheckAt, this.#nextSettlementAt) }
 
   #admitAll (tick: AdmissionTick): void {
-    const touched = new Set<WorkspaceId>()
+    const activeWorkspaces = new Set<WorkspaceId>()
     for (const exchange of tick.tables.exchanges.group('admission')) {
-      if (exchange.workspace !== null) touched.add(exchange.workspace)
+      if (exchange.workspace !== null) activeWorkspaces.add(exchange.workspace)
       this.#admit(tick, exchange)
     }
-    this.#seekTokens(tick, touched)
-    if (tick.tables.exchanges.groupSize('admission') > 0) this.#recheckAt = tick.now + RECHECK
+    this.#requestTokens(tick, activeWorkspaces)
+    if (tick.tables.exchanges.groupSize('admission') > 0) this.#nextRecheckAt = tick.now + RECHECK_INTERVAL_MS
   }
 
-  // Unspent tokens go back as soon as they can no longer be spent here: demand has moved elsewhere.
-  #settle (tick: AdmissionTick): void {
-    this.#settleAt = NEVER
+  // Returns the unspent tokens of expired credits to their lenders, where the demand may be now.
+  #sendSettlements (tick: AdmissionTick): void {
+    this.#nextSettlementAt = NEVER
     for (const allowance of tick.tables.allowances.rows()) {
       refill(allowance, tick.now)
-      this.#settleAt = Math.min(this.#settleAt, nextCreditEnd(allowance))
+      this.#nextSettlementAt = Math.min(this.#nextSettlementAt, nextCreditExpiry(allowance))
       for (const lender of [...allowance.settlements.keys()]) {
-        const settled = takeSettlementsFor(allowance, lender)
+        const settled = takePendingSettlements(allowance, lender)
         const member = tick.tables.members.get(lender)?.member
         if (member === undefined) continue
         tick.emit({ kind: 'send', to: lender, address: member.link, message: { kind: 'token-settlement', workspace: allowance.workspace, settled } })
@@ -83,55 +82,55 @@
     }
   }
 
-  // Buckets exist from the first sight of a workspace so that they have earned tokens when its callers arrive.
-  #prepare (tick: AdmissionTick): void {
+  // Creates the bucket when a workspace first appears in the configuration, so that tokens have accrued before its first request.
+  #createBuckets (tick: AdmissionTick): void {
     const { configuration } = tick.tables
     if (configuration.index === this.#configurationIndex) return
     this.#configurationIndex = configuration.index
-    for (const workspace of configuration.workspaces.rows()) findAllowance(tick.tables, workspace, tick.now)
+    for (const workspace of configuration.workspaces.rows()) ensureAllowance(tick.tables, workspace, tick.now)
   }
 
-  #takeMessage (tick: AdmissionTick, row: MessageReceived<AllowanceMessage>): void {
+  #handleMessage (tick: AdmissionTick, row: MessageReceived<AllowanceMessage>): void {
     const message = row.message
-    if (message.kind === 'token-request') this.#answerRequest(tick, row.from, message)
-    if (message.kind === 'token-settlement') this.#takeSettlements(tick, message)
-    if (message.kind === 'token-grant') this.#takeGrant(tick, row.from, message)
+    if (message.kind === 'token-request') this.#handleTokenRequest(tick, row.from, message)
+    if (message.kind === 'token-settlement') this.#handleSettlements(tick, message)
+    if (message.kind === 'token-grant') this.#handleGrant(tick, row.from, message)
   }
 
-  #answerRequest (tick: AdmissionTick, from: MessageReceived<AllowanceMessage>['from'], message: Extract<AllowanceMessage, { kind: 'token-request' }>): void {
+  #handleTokenRequest (tick: AdmissionTick, from: MessageReceived<AllowanceMessage>['from'], message: Extract<AllowanceMessage, { kind: 'token-request' }>): void {
     const workspace = tick.tables.configuration.workspaces.get(message.workspace)
     const borrower = tick.tables.members.get(from)?.member
     if (workspace === undefined || borrower === undefined) return
-    const allowance = findAllowance(tick.tables, workspace, tick.now)
-    for (const settlement of message.settled) takeSettlement(allowance, settlement, tick.now)
+    const allowance = ensureAllowance(tick.tables, workspace, tick.now)
+    for (const settlement of message.settled) applySettlement(allowance, settlement, tick.now)
     updateDemand(allowance, tick.now)
-    const keep = allowance.held + allowance.demand * LENDER_RESERVE / MS_PER_SECOND
-    const amount = lend(allowance, message.ask, message.amount, keep, tick.now, loanEnd(tick.now))
+    const reserve = allowance.held + allowance.demand * LENDER_RESERVE_MS / MS_PER_SECOND
+    const amount = lend(allowance, message.ask, message.amount, reserve, tick.now, lenderLoanExpiry(tick.now))
     tick.emit({
       kind: 'send',
       to: from,
       address: borrower.link,
-      message: { kind: 'token-grant', workspace: message.workspace, amount, left: Math.max(0, allowance.tokens - keep), ask: message.ask }
+      message: { kind: 'token-grant', workspace: message.workspace, amount, left: Math.max(0, allowance.tokens - reserve), ask: message.ask }
     })
   }
 
-  #takeSettlements (tick: AdmissionTick, message: Extract<AllowanceMessage, { kind: 'token-settlement' }>): void {
+  #handleSettlements (tick: AdmissionTick, message: Extract<AllowanceMessage, { kind: 'token-settlement' }>): void {
     const allowance = tick.tables.allowances.get(message.workspace)
     if (allowance === undefined) return
-    for (const settlement of message.settled) takeSettlement(allowance, settlement, tick.now)
+    for (const settlement of message.settled) applySettlement(allowance, settlement, tick.now)
   }
 
-  #takeGrant (tick: AdmissionTick, from: MessageReceived<AllowanceMessage>['from'], message: Extract<AllowanceMessage, { kind: 'token-grant' }>): void {
+  #handleGrant (tick: AdmissionTick, from: MessageReceived<AllowanceMessage>['from'], message: Extract<AllowanceMessage, { kind: 'token-grant' }>): void {
     const allowance = tick.tables.allowances.get(message.workspace)
     if (allowance === undefined) return
-    const sentAt = allowance.asks.get(message.ask)
+    const sentAt = allowance.pendingAsks.get(message.ask)
     if (sentAt === undefined) return
-    allowance.asks.delete(message.ask)
+    allowance.pendingAsks.delete(message.ask)
     allowance.lenders.set(from, { host: from, left: message.left, heardAt: tick.now })
-    if (allowance.asks.size === 0 && message.amount === 0 && allowance.credits.length === 0) allowance.dryAt = tick.now
+    if (allowance.pendingAsks.size === 0 && message.amount === 0 && allowance.credits.length === 0) allowance.exhaustedAt = tick.now
     if (message.amount > 0 && isGrantFresh(sentAt, tick.now)) {
-      allowance.credits.push({ lender: from, ask: message.ask, amount: message.amount, endsAt: sentAt + LOAN })
-      this.#settleAt = Math.min(this.#settleAt, sentAt + LOAN)
+      allowance.credits.push({ lender: from, ask: message.ask, amount: message.amount, endsAt: sentAt + LOAN_DURATION_MS })
+      this.#nextSettlementAt = Math.min(this.#nextSettlementAt, sentAt + LOAN_DURATION_MS)
     }
   }
 
@@ -141,42 +140,42 @@
       this.#refuse(tick, exchange)
       return
     }
-    const allowance = findAllowance(tick.tables, workspace, tick.now)
+    const allowance = ensureAllowance(tick.tables, workspace, tick.now)
     if (exchange.receivedAt === tick.now) countArrival(allowance)
     if (takeToken(allowance, tick.now)) {
       exchange.phase = needsClaim(exchange) ? 'claiming' : 'queued'
       exchange.admittedAt = tick.now
       tick.tables.exchanges.put(exchange)
-    } else if (tick.now >= Math.min(exchange.deadline, exchange.receivedAt + this.policy.holdFor(allowance, tick.now))) {
+    } else if (tick.now >= Math.min(exchange.deadline, exchange.receivedAt + this.policy.maxHoldMs(allowance, tick.now))) {
       this.#refuse(tick, exchange)
     }
   }
 
   #refuse (tick: AdmissionTick, exchange: ExchangeRow): void {
     tick.tables.exchanges.remove(exchange.exchange)
-    journalRefusal(tick, exchange, 'over-rate', this.#figures(tick, exchange))
+    journalRefusal(tick, exchange, 'over-rate', this.#refusalFacts(tick, exchange))
     tick.emit(createRefusal(exchange.exchange, 'over-rate'))
   }
 
-  #figures (tick: AdmissionTick, exchange: ExchangeRow): EventFacts<'refused'> {
+  #refusalFacts (tick: AdmissionTick, exchange: ExchangeRow): EventFacts<'refused'> {
     const allowance = exchange.workspace === null ? undefined : tick.tables.allowances.get(exchange.workspace)
     if (allowance === undefined) return { workspace: exchange.workspace }
     const { rate, burst, tokens, demand, credits } = allowance
     return { workspace: exchange.workspace, ownRate: rate, ownBurst: burst, tokens, demand, credits: credits.length, heldMs: tick.now - exchange.receivedAt, policy: this.policy.name }
   }
 
-  #seekTokens (tick: AdmissionTick, touched: ReadonlySet<WorkspaceId>): void {
+  #requestTokens (tick: AdmissionTick, activeWorkspaces: ReadonlySet<WorkspaceId>): void {
     const held = new Map<WorkspaceId, number>()
     for (const exchange of tick.tables.exchanges.group('admission')) {
       if (exchange.workspace !== null) held.set(exchange.workspace, (held.get(exchange.workspace) ?? 0) + 1)
     }
-    for (const workspace of touched) {
+    for (const workspace of activeWorkspaces) {
       const allowance = tick.tables.allowances.get(workspace)
       if (allowance === undefined) continue
       allowance.held = held.get(workspace) ?? 0
       updateDemand(allowance, tick.now)
       refill(allowance, tick.now)
-      this.policy.seek(tick, allowance)
+      this.policy.requestTokens(tick, allowance)
     }
   }
 }
--- a/src/backend-choice/backendChoice.ts
+++ b/src/backend-choice/backendChoice.ts
@@ -79,7 +79,7 @@
 
 /** Returns how many times longer than expected a server takes; 1 for a normal server. */
 export const currentSlowness = (row: BackendRow, now: Millis): number => {
-  const slowness = 1 + (row.slowness - 1) * Math.exp((row.slownessAt - now) / SLOWNESS_TIME_CONSTANT_MS)
+  const slowness = 1 + (row.slowness - 1) * Math.exp((row.slownessUpdatedAt - now) / SLOWNESS_TIME_CONSTANT_MS)
   return slowness < SLOWNESS_THRESHOLD ? 1 : slowness
 }
 
--- a/src/backend-choice/candidates.ts
+++ b/src/backend-choice/candidates.ts
@@ -42,11 +42,11 @@
 
 /** Estimates the outstanding requests of all hosts at a server, its queue included. */
 export const estimateOutstanding = (row: BackendRow, now: Millis): number =>
-  row.inFlight + row.othersBusy * Math.exp((row.loadHeardAt - now) / LOAD_TIME_CONSTANT_MS)
+  row.inFlight + row.otherHostsLoad * Math.exp((row.loadReportedAt - now) / LOAD_TIME_CONSTANT_MS)
 
 const isFull = (row: BackendRow, now: Millis, isFirstRank: boolean): boolean => {
   // A server that reports its load may queue some requests. Any other server gets no more than its usable slots.
-  if (row.loadHeardAt === 0) return row.inFlight >= usableSlots(row, now)
+  if (row.loadReportedAt === 0) return row.inFlight >= usableSlots(row, now)
   return estimateOutstanding(row, now) >= row.announcement.slots * (isFirstRank ? FIRST_RANK_FILL_LIMIT : LATER_RANK_FILL_LIMIT)
 }
 
@@ -65,7 +65,7 @@
 
 /** Returns whether requests run at a server that has not answered within the limit. Servers that report no load are never silent. */
 export const isSilent = (row: BackendRow, now: Millis, limit = SILENCE_TIMEOUT_MS): boolean =>
-  row.loadHeardAt > 0 && row.quietSince !== null && now - row.quietSince >= limit
+  row.loadReportedAt > 0 && row.unansweredSince !== null && now - row.unansweredSince >= limit
 
 /** Returns why a server gets no new requests now; null if it may get them. */
 export const findExclusionReason = (tables: CandidateTables, row: BackendRow, now: Millis, isFirstRank = true): ExclusionReason | null => {
--- a/src/entry/entryWorld.ts
+++ b/src/entry/entryWorld.ts
@@ -10,7 +10,7 @@
 import type { AllowancePolicy } from '../admission/allowancePolicy.js'
 import type { AllowanceRow } from '../admission/types.js'
 import { AnnouncementSystem } from '../announcement/announcementSystem.js'
-import { createBackends } from '../announcement/announcementTopic.js'
+import { createBackendTable } from '../announcement/announcementTopic.js'
 import { createAffinityTables } from '../affinity/recentObjects.js'
 import { ExpectedLatency, RandomChoice, PowerOfTwoChoices } from '../backend-choice/backendChoice.js'
 import type { BackendChoice } from '../backend-choice/types.js'
@@ -30,8 +30,8 @@
 import type { FleetRetryLimits } from '../retry-budget/retryBudget.js'
 import type { RetryBudget } from '../retry-budget/types.js'
 import { ClaimSystem } from '../idempotency/claimSystem.js'
-import { NoRecords, RendezvousRecords } from '../idempotency/recordHomes.js'
-import type { RecordPlacement } from '../idempotency/recordHomes.js'
+import { NoRecords, RendezvousRecords } from '../idempotency/recordPlacement.js'
+import type { RecordPlacement } from '../idempotency/recordPlacement.js'
 import type { ClaimRow, RecordKey, RecordRow } from '../idempotency/types.js'
 import type { Withdrawal } from '../key-check/types.js'
 import type { BlockTable } from '../lookup/blockTable.js'
@@ -113,7 +113,7 @@
   configuration: createConfiguration(),
   recentChanges: new RecentChanges(),
   withdrawals: new RowTable<KeyDigest, Withdrawal>(row => row.digest),
-  backends: createBackends(),
+  backends: createBackendTable(),
   ...createAffinityTables(),
   blocks: options.blocks,
   rankings: new RankingCache(),
--- a/src/entry/readiness.ts
+++ b/src/entry/readiness.ts
@@ -1,6 +1,6 @@
 /** Readiness of an entry host. */
 
-import { loanEnd } from '../admission/allowanceBucket.js'
+import { lenderLoanExpiry } from '../admission/allowanceBucket.js'
 import { findOutOfServiceReason } from '../backend-choice/candidates.js'
 import type { Millis } from '../core/tick.js'
 import type { EntryTables } from './types.js'
@@ -21,5 +21,5 @@
   if (lifecycle.phase !== 'serving' || gossip.confirmedAt === null || configuration.services.size === 0) return false
   // Token buckets are not refilled until every loan made before a restart has ended. Until then nearly every request would be
   // refused as over its rate.
-  return now >= loanEnd(homeHistory.startedAt) && hasAvailableServer(tables)
+  return now >= lenderLoanExpiry(homeHistory.startedAt) && hasAvailableServer(tables)
 }
--- a/src/exchange/attemptSystem.ts
+++ b/src/exchange/attemptSystem.ts
@@ -48,7 +48,7 @@
   if (backend?.reservedFor === exchange.exchange) backend.reservedFor = null
   if (backend === undefined) return undefined
   backend.inFlight = Math.max(0, backend.inFlight - 1)
-  if (backend.inFlight === 0) backend.quietSince = null
+  if (backend.inFlight === 0) backend.unansweredSince = null
   return backend
 }
 
@@ -63,9 +63,9 @@
   const backend = exchange.backend === null ? undefined : tick.tables.backends.get(exchange.backend)
   if (backend === undefined) return
   const others = Math.max(0, load.running + load.waiting - backend.inFlight)
-  const weight = Math.max(MIN_LOAD_SAMPLE_WEIGHT, 1 - Math.exp((backend.loadHeardAt - tick.now) / LOAD_TIME_CONSTANT_MS))
-  backend.othersBusy += (others - backend.othersBusy) * weight
-  backend.loadHeardAt = tick.now
+  const weight = Math.max(MIN_LOAD_SAMPLE_WEIGHT, 1 - Math.exp((backend.loadReportedAt - tick.now) / LOAD_TIME_CONSTANT_MS))
+  backend.otherHostsLoad += (others - backend.otherHostsLoad) * weight
+  backend.loadReportedAt = tick.now
 }
 
 const recordFailure = (tick: AttemptTick, backend: BackendRow | undefined): void => {
@@ -123,9 +123,9 @@
     this.#nextSilenceTimeoutAt = NEVER
     for (const exchange of tick.tables.exchanges.group('running')) {
       const backend = exchange.backend === null ? undefined : tick.tables.backends.get(exchange.backend)
-      if (backend === undefined || backend.loadHeardAt === 0 || !mayFailOver(exchange)) continue
+      if (backend === undefined || backend.loadReportedAt === 0 || !mayFailOver(exchange)) continue
       const timeout = silenceTimeout(tick.tables, exchange)
-      const timeoutAt = Math.max(backend.quietSince ?? exchange.attemptStartedAt, exchange.attemptStartedAt) + timeout
+      const timeoutAt = Math.max(backend.unansweredSince ?? exchange.attemptStartedAt, exchange.attemptStartedAt) + timeout
       if (tick.now < timeoutAt) this.#nextSilenceTimeoutAt = Math.min(this.#nextSilenceTimeoutAt, timeoutAt)
       else this.#failOver(tick, exchange)
     }
@@ -155,7 +155,7 @@
     const attempt = exchange.attempt
     if (attempt === null) return
     const server = exchange.backend === null ? undefined : tick.tables.backends.get(exchange.backend)
-    if (server !== undefined) server.quietSince = tick.now
+    if (server !== undefined) server.unansweredSince = tick.now
     if (head.load !== null) recordLoad(tick, exchange, head.load)
     if (head.shed) {
       tick.emit({ kind: 'abandon-attempt', exchange: exchange.exchange, attempt })
--- a/src/exchange/lifecycle.ts
+++ b/src/exchange/lifecycle.ts
@@ -1,11 +1,11 @@
 /** Lifecycle of the process: serving, leaving during a graceful shutdown, then stopped. */
 
 import type { Millis } from '../core/tick.js'
-import { ANSWER_TTL } from '../lookup/lookupSystem.js'
+import { ANSWER_TTL_MS } from '../lookup/lookupSystem.js'
 import type { Lifecycle } from './types.js'
 
 /** Time for which a host still accepts requests after it has left the look-up answers, so that cached answers stay valid. */
-export const LEAVING_PERIOD_MS: Millis = ANSWER_TTL + 1_000
+export const LEAVING_PERIOD_MS: Millis = ANSWER_TTL_MS + 1_000
 
 /** Returns the lifecycle of a process that has just started. */
 export const createLifecycle = (): Lifecycle => ({ phase: 'serving', leavingAt: 0 })
--- a/src/exchange/placementCount.ts
+++ b/src/exchange/placementCount.ts
@@ -1,7 +1,7 @@
 /** Counts requests, and the regions that they run in, in the shift accounts. */
 
 import type { RegionId, ServiceId } from '../core/id.js'
-import { findTerms } from '../configuration/configurationTables.js'
+import { findApprovedTerms } from '../configuration/configurationTables.js'
 import { overflowFraction } from '../shift/capacityOverflow.js'
 import { findAwayLimit, findShiftAccount, openShiftAccount, shiftSubjectOf } from '../shift/shiftAccount.js'
 import type { ShiftTables } from '../shift/types.js'
@@ -15,7 +15,7 @@
 
 /** Counts requests that have joined the queue in the current window, however long they then wait for a server. */
 export const countDemand = (tick: PlacementTick, service: ServiceId, queued: readonly ExchangeRow[]): void => {
-  const terms = findTerms(tick.tables.configuration, service)
+  const terms = findApprovedTerms(tick.tables.configuration, service)
   if (terms === null) return
   for (const exchange of queued) {
     if (exchange.placement !== 'uncounted' || exchange.allowedRegions.length > 0) continue
@@ -29,7 +29,7 @@
 /** Counts the region that an attempt runs in. A retry changes the account only if it moves the request to another region. */
 export const countPlacement = (tick: PlacementTick, exchange: ExchangeRow, region: RegionId): void => {
   const { tables, now } = tick
-  const terms = findTerms(tables.configuration, exchange.service)
+  const terms = findApprovedTerms(tables.configuration, exchange.service)
   if (terms === null || exchange.allowedRegions.length > 0) return
   const account = findShiftAccount(tables, shiftSubjectOf(exchange), terms.shiftWindowMs, now)
   exchange.isAway = region !== tables.gossip.self.region
--- a/src/exchange/workTime.ts
+++ b/src/exchange/workTime.ts
@@ -40,7 +40,7 @@
 const recordSlowness = (backend: BackendRow, ratio: number, now: Millis): void => {
   const bounded = Math.min(MAX_SLOWNESS, Math.max(MIN_SLOWNESS, ratio))
   backend.slowness += (bounded - backend.slowness) * SLOWNESS_SAMPLE_WEIGHT
-  backend.slownessAt = now
+  backend.slownessUpdatedAt = now
 }
 
 /** Updates the estimates from an answer. `tookMs` includes the wait for a slot, but not the network round trip. */
--- a/src/front-end/serviceProtocol.ts
+++ b/src/front-end/serviceProtocol.ts
@@ -4,8 +4,8 @@
 import { toId } from '../core/id.js'
 import type { ServiceId } from '../core/id.js'
 import type { AttemptStarted, RequestRefused } from '../exchange/types.js'
-import { createTicket } from '../idempotency/recordHomes.js'
-import { parseAddress } from '../lookup/blockTable.js'
+import { createTicket } from '../idempotency/recordPlacement.js'
+import { parseIpv4Address } from '../lookup/blockTable.js'
 import type { LookupAnswered } from '../lookup/types.js'
 import { findKey, forwardResponseHeaders, forwardRequestHeaders, redactKey } from './callerHeaders.js'
 import type { ResponseHead, ResponseClass, CallerProtocol, ParsedRequest, CallerRequest, HeaderFields } from './callerProtocol.js'
@@ -42,7 +42,7 @@
   #parseLookup (request: IncomingMessage, url: string): ParsedRequest {
     const service = new URL(url, 'http://localhost').searchParams.get('service')
     if (request.method !== 'GET' || service === null) return { kind: 'malformed', status: 400, reason: 'lookup-malformed' }
-    return { kind: 'lookup', query: { service: toId<ServiceId>(service), client: parseAddress(request.socket.remoteAddress ?? ''), place: null } }
+    return { kind: 'lookup', query: { service: toId<ServiceId>(service), client: parseIpv4Address(request.socket.remoteAddress ?? ''), place: null } }
   }
 
   attemptHeaders (request: IncomingMessage, parsed: CallerRequest, attempt: AttemptStarted): HeaderFields {
--- a/src/lookup/lookupSystem.ts
+++ b/src/lookup/lookupSystem.ts
@@ -1,10 +1,10 @@
-/** Answers look-ups from a ranking of entry hosts for each service and site. */
+/** Answers look-ups. Entry hosts are ranked by distance for each service and site. */
 
 import type { RegionId, ServiceId, SiteId } from '../core/id.js'
 import type { Random } from '../core/random.js'
 import { NEVER } from '../core/tick.js'
 import type { Millis, System, Tick } from '../core/tick.js'
-import { findTerms } from '../configuration/configurationTables.js'
+import { findApprovedTerms } from '../configuration/configurationTables.js'
 import type { ProfileTerms } from '../plan/types.js'
 import type { Configuration } from '../configuration/configurationTables.js'
 import type { Member, MembershipTables } from '../membership/types.js'
@@ -12,19 +12,18 @@
 import type { ShiftTables } from '../shift/types.js'
 import type { BlockTable } from './blockTable.js'
 import { isServingEntry } from '../membership/entryHosts.js'
-import type { LookupAnswered, LookupError, LookupReceived, Place, RankedHost, Site } from './types.js'
+import type { LookupAnswered, LookupError, LookupReceived, Place, RankedHost, SiteLocation } from './types.js'
 
-/** Entry hosts in one answer. */
-export const ANSWER_HOSTS = 4
-/** How long a caller may use an answer; a stopping host goes on serving for this long. */
-export const ANSWER_TTL: Millis = 2_000
+/** Maximum number of entry hosts in an answer by service. */
+export const MAX_ANSWER_HOSTS = 4
+/** How long a caller may cache an answer. A stopping host keeps serving for at least this long. */
+export const ANSWER_TTL_MS: Millis = 2_000
 
-/** Entry hosts in an answer by place. */
-export const LOCATED_HOSTS = 64
-/** How long an answer by place may be used; some callers go on for three times as long. */
-export const LOCATED_TTL: Millis = 1_000
+/** Maximum number of entry hosts in an answer by place. */
+export const MAX_PLACE_ANSWER_HOSTS = 64
+/** How long a caller may cache an answer by place. Some callers use it for three times as long. */
+export const PLACE_ANSWER_TTL_MS: Millis = 1_000
 
-/** Tables that look-ups read. */
 export interface LookupTables extends Pick<MembershipTables, 'members' | 'gossip'>, ShiftTables {
   readonly configuration: Configuration
   readonly blocks: BlockTable
@@ -33,47 +32,47 @@
 
 type LookupInput = LookupReceived | { readonly kind: 'other' }
 
-/** Entry hosts of the client's region in tiers of equal distance, nearest first, and those of other regions. */
+/** Entry hosts of the client's region in tiers of equal distance, nearest first, and the allowed entry hosts of other regions. */
 interface Ranking {
-  readonly near: ReadonlyArray<readonly RankedHost[]>
-  readonly far: readonly RankedHost[]
-  readonly farTier: ReadonlyArray<readonly RankedHost[]>
+  readonly nearTiers: ReadonlyArray<readonly RankedHost[]>
+  readonly farHosts: readonly RankedHost[]
+  readonly farTiers: ReadonlyArray<readonly RankedHost[]>
 }
 
-const tierOf = (member: Member, near: Site): number => {
-  if (member.site === near.site && member.zone === near.zone) return 0
-  return member.zone === near.zone ? 1 : 2
+const distanceTier = (member: Member, origin: SiteLocation): number => {
+  if (member.site === origin.site && member.zone === origin.zone) return 0
+  return member.zone === origin.zone ? 1 : 2
 }
 
-const NEAR_TIERS = 3
+const NEAR_TIER_COUNT = 3
 
-const rank = (members: Iterable<{ member: Member }>, near: Site, allowed: readonly RegionId[]): Ranking => {
-  const tiers: RankedHost[][] = Array.from({ length: NEAR_TIERS }, () => [])
-  const far: RankedHost[] = []
+const rankHosts = (members: Iterable<{ member: Member }>, origin: SiteLocation, allowedRegions: readonly RegionId[]): Ranking => {
+  const tiers: RankedHost[][] = Array.from({ length: NEAR_TIER_COUNT }, () => [])
+  const farHosts: RankedHost[] = []
   for (const { member } of members) {
     if (member.role !== 'entry' || member.callers === null || member.state !== 'alive') continue
     const ranked: RankedHost = { host: member.host, region: member.region, zone: member.zone, callers: member.callers }
-    if (member.region === near.region) tiers[tierOf(member, near)]?.push(ranked)
-    else if (allowed.length === 0 || allowed.includes(member.region)) far.push(ranked)
+    if (member.region === origin.region) tiers[distanceTier(member, origin)]?.push(ranked)
+    else if (allowedRegions.length === 0 || allowedRegions.includes(member.region)) farHosts.push(ranked)
   }
-  return { near: tiers.filter(tier => tier.length > 0), far, farTier: [far] }
+  return { nearTiers: tiers.filter(tier => tier.length > 0), farHosts, farTiers: [farHosts] }
 }
 
-/** What look-ups need of one service. */
+/** The terms and rankings of one service. */
 interface ServiceRankings {
   readonly terms: ProfileTerms
-  /** The name of its look-ups in the shift accounts. */
+  /** Subject of the shift account that counts the service's look-ups. */
   readonly subject: string
   readonly bySite: Map<SiteId, Ranking>
 }
 
-/** Rankings by service and site, dropped when members or configuration change. */
+/** Caches rankings by service and site until the membership or the configuration changes. */
 export class RankingCache {
   #members = -1
   #index = -1
   readonly #byService = new Map<ServiceId, ServiceRankings>()
 
-  /** What is known of a service; null when it has no approved terms. */
+  /** Returns the rankings of a service, or null when the service has no approved terms. */
   service (tables: LookupTables, service: ServiceId): ServiceRankings | null {
     const { members, configuration } = tables
     if (members.revision !== this.#members || configuration.index !== this.#index) {
@@ -81,122 +80,122 @@
       this.#members = members.revision
       this.#index = configuration.index
     }
-    const known = this.#byService.get(service)
-    if (known !== undefined) return known
-    const terms = findTerms(configuration, service)
+    const cached = this.#byService.get(service)
+    if (cached !== undefined) return cached
+    const terms = findApprovedTerms(configuration, service)
     if (terms === null) return null
-    const made: ServiceRankings = { terms, subject: `lookup/${service}`, bySite: new Map() }
-    this.#byService.set(service, made)
-    return made
+    const created: ServiceRankings = { terms, subject: `lookup/${service}`, bySite: new Map() }
+    this.#byService.set(service, created)
+    return created
   }
 
-  /** The ranking for clients of a site; without a site, for those that stand where this host stands. */
+  /** Returns the ranking for clients of a site. Uses this host's own site when the client's is unknown. */
   ranking (tables: LookupTables, rankings: ServiceRankings, site: SiteId | null): Ranking {
-    const near = site ?? tables.gossip.self.site
-    let ranking = rankings.bySite.get(near)
+    const originSite = site ?? tables.gossip.self.site
+    let ranking = rankings.bySite.get(originSite)
     if (ranking === undefined) {
-      ranking = rank(tables.members.rows(), locate(tables, near), rankings.terms.allowedRegions)
-      rankings.bySite.set(near, ranking)
+      ranking = rankHosts(tables.members.rows(), findSiteLocation(tables, originSite), rankings.terms.allowedRegions)
+      rankings.bySite.set(originSite, ranking)
     }
     return ranking
   }
 }
 
-// A site without entry hosts of its own is served as if the client stood where this host stands.
-const locate = (tables: LookupTables, site: SiteId): Site => {
+// Returns the location of a site. Falls back to this host's location for a site without entry hosts.
+const findSiteLocation = (tables: LookupTables, site: SiteId): SiteLocation => {
   for (const row of tables.configuration.entryHosts.rows()) {
     if (row.site === site) return row
   }
   return tables.gossip.self
 }
 
-// Each tier starts at a random host so that callers spread over equals.
-const choose = (tiers: ReadonlyArray<readonly RankedHost[]>, random: Random): RankedHost[] => {
+// Starts each tier at a random host, to balance callers over hosts at the same distance.
+const chooseHosts = (tiers: ReadonlyArray<readonly RankedHost[]>, random: Random): RankedHost[] => {
   const chosen: RankedHost[] = []
   for (const tier of tiers) {
     const first = random.below(tier.length)
     for (let step = 0; step < tier.length; step += 1) {
       const host = tier[(first + step) % tier.length]
       if (host !== undefined) chosen.push(host)
-      if (chosen.length >= ANSWER_HOSTS) return chosen
+      if (chosen.length >= MAX_ANSWER_HOSTS) return chosen
     }
   }
   return chosen
 }
 
-/** Entry hosts for a service near this host, without asking for a shift. */
-export const nearHosts = (tables: LookupTables, random: Random, service: ServiceId): RankedHost[] => {
+/** Returns entry hosts in this host's region for a service. Does not count towards a shift. */
+export const nearEntryHosts = (tables: LookupTables, random: Random, service: ServiceId): RankedHost[] => {
   const rankings = tables.rankings.service(tables, service)
-  return rankings === null ? [] : choose(tables.rankings.ranking(tables, rankings, null).near, random)
+  return rankings === null ? [] : chooseHosts(tables.rankings.ranking(tables, rankings, null).nearTiers, random)
 }
 
-// Sending callers to another region is a shift too, and so is calling them back.
-const place = (tables: LookupTables, rankings: ServiceRankings, ranking: Ranking, now: Millis): ReadonlyArray<readonly RankedHost[]> | LookupError => {
-  const { near, far, farTier } = ranking
-  if (near.length === 0 && far.length === 0) return { kind: 'no-entry-host' }
+// Selects the host tiers for a look-up and counts it in the shift account. Sending callers to another region and returning them
+// are both shifts, and the cap limits both.
+const selectTiers = (tables: LookupTables, rankings: ServiceRankings, ranking: Ranking, now: Millis): ReadonlyArray<readonly RankedHost[]> | LookupError => {
+  const { nearTiers, farHosts, farTiers } = ranking
+  if (nearTiers.length === 0 && farHosts.length === 0) return { kind: 'no-entry-host' }
   const account = findShiftAccount(tables, rankings.subject, rankings.terms.shiftWindowMs, now)
   account.total += 1
   const { isHomeOpen, isAwayOpen } = findAllowedPlacements(account, rankings.terms)
-  if (near.length > 0 && (isHomeOpen || far.length === 0)) {
+  if (nearTiers.length > 0 && (isHomeOpen || farHosts.length === 0)) {
     account.home += 1
-    return near
+    return nearTiers
   }
-  if (!isAwayOpen || far.length === 0) return { kind: 'shift-capped' }
+  if (!isAwayOpen || farHosts.length === 0) return { kind: 'shift-capped' }
   account.away += 1
-  return farTier
+  return farTiers
 }
 
-const refuse = (tables: LookupTables, question: LookupReceived, error: LookupError): LookupAnswered =>
-  ({ kind: 'lookup-answer', lookup: question.lookup, hosts: [], ttlMs: ANSWER_TTL, ticketZone: tables.gossip.self.zone, error })
+const rejectLookup = (tables: LookupTables, query: LookupReceived, error: LookupError): LookupAnswered =>
+  ({ kind: 'lookup-answer', lookup: query.lookup, hosts: [], ttlMs: ANSWER_TTL_MS, ticketZone: tables.gossip.self.zone, error })
 
-const isNear = (place: Place, host: RankedHost): boolean => host.zone === place.zone
+const isInZone = (place: Place, host: RankedHost): boolean => host.zone === place.zone
 
-/** Draws hosts without repetition. */
-const draw = (random: Random, hosts: RankedHost[], most: number): RankedHost[] => {
+/** Removes and returns up to `limit` random hosts. */
+const drawHosts = (random: Random, hosts: RankedHost[], limit: number): RankedHost[] => {
   const drawn: RankedHost[] = []
-  while (drawn.length < most && hosts.length > 0) drawn.push(...hosts.splice(random.below(hosts.length), 1))
+  while (drawn.length < limit && hosts.length > 0) drawn.push(...hosts.splice(random.below(hosts.length), 1))
   return drawn
 }
 
-// Entry hosts of the caller's own zone, filled up from its region to an even part of the region's hosts: a zone with few
-// hosts has as many callers as its neighbour. Without any in the region, those that are left.
-const nearestTo = (place: Place, hosts: readonly RankedHost[], random: Random): readonly RankedHost[] => {
+// Returns the entry hosts of the caller's zone, filled up with hosts of its region to an even share of the region's hosts,
+// because a zone with few hosts may have as many callers as any other. Returns all hosts when the region has none.
+const hostsNearPlace = (place: Place, hosts: readonly RankedHost[], random: Random): readonly RankedHost[] => {
   const inRegion = hosts.filter(host => host.region === place.region)
   if (inRegion.length === 0) return hosts
-  const inZone = inRegion.filter(host => isNear(place, host))
+  const inZone = inRegion.filter(host => isInZone(place, host))
   const zones = new Set(inRegion.map(host => host.zone)).add(place.zone)
-  const evenPart = Math.ceil(inRegion.length / zones.size)
-  if (inZone.length >= evenPart) return inZone
-  return [...inZone, ...draw(random, inRegion.filter(host => !isNear(place, host)), evenPart - inZone.length)]
+  const evenShare = Math.ceil(inRegion.length / zones.size)
+  if (inZone.length >= evenShare) return inZone
+  return [...inZone, ...drawHosts(random, inRegion.filter(host => !isInZone(place, host)), evenShare - inZone.length)]
 }
 
-const locateHosts = (tables: LookupTables, random: Random, question: LookupReceived): LookupAnswered => {
+const answerByPlace = (tables: LookupTables, random: Random, query: LookupReceived): LookupAnswered => {
   const serving: RankedHost[] = []
   for (const { member } of tables.members.rows()) {
     if (!isServingEntry(member) || member.callers === null) continue
     serving.push({ host: member.host, region: member.region, zone: member.zone, callers: member.callers })
   }
-  const { region, zone } = question.place ?? tables.gossip.self
-  const near = nearestTo({ region, zone }, serving, random)
-  if (near.length === 0 || tables.configuration.index === 0) return refuse(tables, question, { kind: 'no-entry-host' })
+  const { region, zone } = query.place ?? tables.gossip.self
+  const near = hostsNearPlace({ region, zone }, serving, random)
+  if (near.length === 0 || tables.configuration.index === 0) return rejectLookup(tables, query, { kind: 'no-entry-host' })
   const first = random.below(near.length)
-  const hosts = [...near.slice(first), ...near.slice(0, first)].slice(0, LOCATED_HOSTS)
-  return { kind: 'lookup-answer', lookup: question.lookup, hosts, ttlMs: LOCATED_TTL, ticketZone: zone, error: null }
+  const hosts = [...near.slice(first), ...near.slice(0, first)].slice(0, MAX_PLACE_ANSWER_HOSTS)
+  return { kind: 'lookup-answer', lookup: query.lookup, hosts, ttlMs: PLACE_ANSWER_TTL_MS, ticketZone: zone, error: null }
 }
 
-/** Decides one look-up. */
-export const answerLookup = (tables: LookupTables, random: Random, question: LookupReceived, now: Millis): LookupAnswered => {
-  if (question.service === null) return locateHosts(tables, random, question)
-  const rankings = tables.rankings.service(tables, question.service)
-  if (rankings === null) return refuse(tables, question, { kind: 'service-unknown', service: question.service })
-  const site = question.client === null ? null : tables.blocks.siteOf(question.client)
-  const placed = place(tables, rankings, tables.rankings.ranking(tables, rankings, site), now)
-  if ('kind' in placed) return refuse(tables, question, placed)
-  const hosts = choose(placed, random)
-  return { kind: 'lookup-answer', lookup: question.lookup, hosts, ttlMs: ANSWER_TTL, ticketZone: hosts[0]?.zone ?? tables.gossip.self.zone, error: null }
+/** Answers one look-up, and counts it in the service's shift account unless it is by place. */
+export const answerLookup = (tables: LookupTables, random: Random, query: LookupReceived, now: Millis): LookupAnswered => {
+  if (query.service === null) return answerByPlace(tables, random, query)
+  const rankings = tables.rankings.service(tables, query.service)
+  if (rankings === null) return rejectLookup(tables, query, { kind: 'service-unknown', service: query.service })
+  const site = query.client === null ? null : tables.blocks.siteOf(query.client)
+  const placed = selectTiers(tables, rankings, tables.rankings.ranking(tables, rankings, site), now)
+  if ('kind' in placed) return rejectLookup(tables, query, placed)
+  const hosts = chooseHosts(placed, random)
+  return { kind: 'lookup-answer', lookup: query.lookup, hosts, ttlMs: ANSWER_TTL_MS, ticketZone: hosts[0]?.zone ?? tables.gossip.self.zone, error: null }
 }
 
-/** The system of look-ups. */
 export class LookupSystem implements System<LookupTables, LookupInput, LookupAnswered> {
   readonly name = 'lookup'
 
--- a/src/warmup/warmupLimit.ts
+++ b/src/warmup/warmupLimit.ts
@@ -33,12 +33,12 @@
 export const maySendToCold = (tables: WarmupLimitTables, row: BackendRow, now: Millis): boolean => {
   const warmup = tables.configuration.services.get(row.announcement.service)?.warmup ?? null
   if (warmup === null) return true
-  row.coldStarts = row.coldStarts.filter(at => now - at < RATE_WINDOW_MS)
-  if (row.coldStarts.length + 1 > warmup.ratePerS / SENDERS_PER_COLD_SERVER) return false
+  row.coldSendTimes = row.coldSendTimes.filter(at => now - at < RATE_WINDOW_MS)
+  if (row.coldSendTimes.length + 1 > warmup.ratePerS / SENDERS_PER_COLD_SERVER) return false
   return isAmongTopRanked(row.key, tables.gossip.self.host, eligibleSenders(tables, row), SENDERS_PER_COLD_SERVER)
 }
 
 /** Records a request that is sent to a server if the server is cold. */
 export const recordColdSend = (row: BackendRow, now: Millis): void => {
-  if (isCold(row, now)) row.coldStarts.push(now)
+  if (isCold(row, now)) row.coldSendTimes.push(now)
 }
