--- a/src/admission/fleetAllowance.spec.ts
+++ b/src/admission/fleetAllowance.spec.ts
@@ -4,22 +4,22 @@
 import type { HostId } from '../core/id.js'
 import { defaultPolicies } from '../entry/entryWorld.js'
 import type { EntryPolicies } from '../entry/entryWorld.js'
-import { ConfigurationBuilder, ordinaryTerms } from '../stand-ins/configurationBuilder.js'
+import { ConfigurationBuilder, defaultTerms } from '../stand-ins/configurationBuilder.js'
 import { VirtualEntry } from '../stand-ins/virtualEntry.js'
-import { delayBetween, placesOver } from '../stand-ins/virtualPlaces.js'
+import { delayByRegion, createLocations } from '../stand-ins/virtualTopology.js'
 import type { VirtualOutcome } from '../stand-ins/virtualEntry.js'
 import { VirtualFleet } from '../stand-ins/virtualFleet.js'
 import { grantsOver } from '../invariants/allowanceInvariant.js'
 import { FixedPartPolicy } from './allowancePolicy.js'
 
-const places = placesOver(['n', 'm', 's'], 2, 4)
+const places = createLocations(['n', 'm', 's'], 2, 4)
 const RATE = 100
 const BURST = 50
 
 const build = (seed: number, policies: () => EntryPolicies, workspaces: readonly string[] = ['w'], rate = RATE): { fleet: VirtualFleet, entry: VirtualEntry } => {
   const fleet = new VirtualFleet(seed)
-  fleet.network.delay = delayBetween(27)
-  const builder = new ConfigurationBuilder().profile(ordinaryTerms).service('lookup').hosts(places)
+  fleet.network.delay = delayByRegion(27)
+  const builder = new ConfigurationBuilder().profile(defaultTerms).service('lookup').hosts(places)
   for (const workspace of workspaces) builder.workspace(workspace, rate, rate / 2)
   const entry = new VirtualEntry(fleet, places, builder.snapshot(), policies)
   for (const [number, zone] of ['n1', 'n2', 'm1', 'm2', 's1', 's2'].entries()) {
@@ -39,10 +39,10 @@
 t.test('all of a workspace lands on one host that holds a small part', async t => {
   for (const [name, policies, bound] of [['lending', defaultPolicies, 0.01], ['fixed-part', fixedPart, null]] as const) {
     const { fleet, entry } = build(1, policies)
-    entry.sendEvenly('w', 'lookup', RATE * 0.9, fleet.now + 10, fleet.now + 2_010, () => hostAt(0))
+    entry.sendAtRate('w', 'lookup', RATE * 0.9, fleet.now + 10, fleet.now + 2_010, () => hostAt(0))
     fleet.runFor(8_000)
     const refused = share(entry.outcomes, 'over-rate')
-    t.equal(grantsOver(entry.grants, RATE, BURST), 0, `${name}: nothing granted over rate and burst`)
+    t.equal(grantsOver(entry.admissions, RATE, BURST), 0, `${name}: nothing granted over rate and burst`)
     if (bound === null) t.ok(refused > 0.5, 'the baseline refuses most of it')
     else t.ok(refused < bound, `${name}: wrongful refusals under 1 % in the two seconds after the move, found ${refused}`)
   }
@@ -53,13 +53,13 @@
   const { fleet, entry } = build(2, defaultPolicies, workspaces)
   const start = fleet.now + 10
   for (const [number, workspace] of workspaces.entries()) {
-    entry.sendEvenly(workspace, 'lookup', RATE * 0.9, start, start + 20_000, (now, n) => hostAt(number * 5 + Math.floor((now - start) / 1_000) * 7 + n % 2))
+    entry.sendAtRate(workspace, 'lookup', RATE * 0.9, start, start + 20_000, (now, n) => hostAt(number * 5 + Math.floor((now - start) / 1_000) * 7 + n % 2))
   }
   fleet.runFor(26_000)
   const refused = share(entry.outcomes, 'over-rate')
-  t.equal(entry.outcomes.length, entry.sent)
+  t.equal(entry.outcomes.length, entry.sentCount)
   for (const workspace of workspaces) {
-    t.equal(grantsOver(entry.grants.filter(row => row.workspace === workspace), RATE, BURST), 0)
+    t.equal(grantsOver(entry.admissions.filter(row => row.workspace === workspace), RATE, BURST), 0)
   }
   t.ok(refused < 0.001, `wrongful refusals under 0.1 %, found ${refused}`)
 })
@@ -69,9 +69,9 @@
     const { fleet, entry } = build(3, defaultPolicies, ['quiet1', 'quiet2', 'quiet3', 'noisy'])
     const start = fleet.now + 10
     for (const [number, workspace] of ['quiet1', 'quiet2', 'quiet3'].entries()) {
-      entry.sendEvenly(workspace, 'lookup', RATE * 0.9, start, start + 10_000, (_now, n) => hostAt(number * 3 + n % 3))
+      entry.sendAtRate(workspace, 'lookup', RATE * 0.9, start, start + 10_000, (_now, n) => hostAt(number * 3 + n % 3))
     }
-    if (noise) entry.sendEvenly('noisy', 'lookup', RATE * 5, start, start + 10_000, (_now, n) => hostAt(n))
+    if (noise) entry.sendAtRate('noisy', 'lookup', RATE * 5, start, start + 10_000, (_now, n) => hostAt(n))
     fleet.runFor(16_000)
     return entry
   }
@@ -81,7 +81,7 @@
   }
   const quiet = run(false)
   const noisy = run(true)
-  t.equal(grantsOver(noisy.grants.filter(row => row.workspace === 'noisy'), RATE, BURST), 0)
+  t.equal(grantsOver(noisy.admissions.filter(row => row.workspace === 'noisy'), RATE, BURST), 0)
   for (const workspace of ['quiet1', 'quiet2', 'quiet3']) {
     const own = noisy.outcomes.filter(row => row.workspace === workspace)
     const served = own.filter(row => row.kind === 'served').length / own.length
@@ -94,13 +94,13 @@
 
 t.test('a zone that is cut off goes on with its own part, and the whole is never exceeded', async t => {
   const { fleet, entry } = build(4, defaultPolicies)
-  fleet.network.isCut = (from, to) => from.startsWith('n1') !== to.startsWith('n1')
+  fleet.network.isPartitioned = (from, to) => from.startsWith('n1') !== to.startsWith('n1')
   const start = fleet.now + 10
-  entry.sendEvenly('w', 'lookup', RATE * 0.1, start, start + 5_000, () => 'n1-1')
-  entry.sendEvenly('w', 'lookup', RATE * 2, start, start + 5_000, (_now, n) => hostAt(4 + n % 20))
+  entry.sendAtRate('w', 'lookup', RATE * 0.1, start, start + 5_000, () => 'n1-1')
+  entry.sendAtRate('w', 'lookup', RATE * 2, start, start + 5_000, (_now, n) => hostAt(4 + n % 20))
   fleet.runFor(12_000)
   const inside = entry.outcomes.filter(row => row.host === 'n1-1')
-  t.equal(grantsOver(entry.grants, RATE, BURST), 0)
+  t.equal(grantsOver(entry.admissions, RATE, BURST), 0)
   t.ok(share(inside, 'over-rate') < 0.01, 'a tenth of the rate is inside what the zone holds')
 })
 
@@ -113,23 +113,23 @@
       const { fleet, entry } = build(seed, defaultPolicies)
       Object.assign(fleet.network, network)
       const cut = new Set<string>()
-      fleet.network.isCut = (from, to) => cut.has(from) !== cut.has(to)
+      fleet.network.isPartitioned = (from, to) => cut.has(from) !== cut.has(to)
       const start = fleet.now + 10
-      entry.sendEvenly('w', 'lookup', RATE * 3, start, start + 8_000, (now, n) => hostAt(Math.floor(now / 700) + n % 3))
+      entry.sendAtRate('w', 'lookup', RATE * 3, start, start + 8_000, (now, n) => hostAt(Math.floor(now / 700) + n % 3))
       for (const step of plan) {
         const place = places[step.target]
         const node = place === undefined ? undefined : fleet.nodes.get(toId<HostId>(place.host))
         if (place === undefined || node === undefined) continue
         if (step.kind === 'restart') {
           node.isDown = true
-          entry.start(place)
+          entry.startHost(place)
         } else if (step.kind === 'cut') cut.add(place.host)
         else if (step.kind === 'heal') cut.delete(place.host)
         else node.isFrozen = step.kind === 'freeze'
         fleet.runFor(step.pause)
       }
       fleet.runFor(12_000)
-      const over = grantsOver(entry.grants, RATE, BURST)
+      const over = grantsOver(entry.admissions, RATE, BURST)
       if (over > 0) throw new Error(`${over} grants over rate and burst`)
     })
   const numRuns = Number(process.env.RHUBARBSEAM_RUNS ?? 12)
--- a/src/admission/lending.spec.ts
+++ b/src/admission/lending.spec.ts
@@ -1,9 +1,9 @@
 import t from 'tap'
 import { toId } from '../core/id.js'
 import type { HostId } from '../core/id.js'
-import { ConfigurationBuilder, ordinaryTerms } from '../stand-ins/configurationBuilder.js'
+import { ConfigurationBuilder, defaultTerms } from '../stand-ins/configurationBuilder.js'
 import { VirtualEntry } from '../stand-ins/virtualEntry.js'
-import type { VirtualPlace } from '../stand-ins/virtualPlaces.js'
+import type { HostLocation } from '../stand-ins/virtualTopology.js'
 import { VirtualFleet } from '../stand-ins/virtualFleet.js'
 import { LOAN, createAllowance, lend, loanEnd, refill, resize, spendable, takeSettlement, takeSettlementsFor, takeToken } from './allowanceBucket.js'
 import type { AllowanceRow } from './types.js'
@@ -64,11 +64,11 @@
   t.matchSnapshot({ served, first, second: takeSettlementsFor(bucket, lender), third: takeSettlementsFor(bucket, lender) })
 })
 
-const places: VirtualPlace[] = ['n1-1', 'n1-2'].map(host => ({ host, zone: 'n1', region: 'n' }))
+const places: HostLocation[] = ['n1-1', 'n1-2'].map(host => ({ host, zone: 'n1', region: 'n' }))
 
 t.test('a grant that comes twice, late or unasked is not taken', async t => {
   const fleet = new VirtualFleet(1)
-  const entry = new VirtualEntry(fleet, places, new ConfigurationBuilder().profile(ordinaryTerms).service('s').hosts(places).workspace('w', 20, 10).snapshot())
+  const entry = new VirtualEntry(fleet, places, new ConfigurationBuilder().profile(defaultTerms).service('s').hosts(places).workspace('w', 20, 10).snapshot())
   fleet.runFor(6_000)
   const host = toId<HostId>('n1-1')
   const lender = toId<HostId>('n1-2')
@@ -78,7 +78,7 @@
     return found
   }
   // The lender is cut off, so that only the grants made up here arrive.
-  fleet.network.isCut = () => true
+  fleet.network.isPartitioned = () => true
   for (let n = 0; n < 8; n += 1) entry.send('n1-1', { service: 's', workspace: 'w' })
   fleet.runFor(1)
   const asks = [...allowance().asks.keys()]
--- a/src/admission/plannedAllowance.spec.ts
+++ b/src/admission/plannedAllowance.spec.ts
@@ -3,9 +3,9 @@
 import type { WorkspaceId } from '../core/id.js'
 import { defaultPolicies } from '../entry/entryWorld.js'
 import type { Plan } from '../plan/types.js'
-import { ConfigurationBuilder, keyOf, ordinaryTerms } from '../stand-ins/configurationBuilder.js'
+import { ConfigurationBuilder, keyDigestOf, defaultTerms } from '../stand-ins/configurationBuilder.js'
 import { VirtualEntry } from '../stand-ins/virtualEntry.js'
-import { delayBetween, placesOver } from '../stand-ins/virtualPlaces.js'
+import { delayByRegion, createLocations } from '../stand-ins/virtualTopology.js'
 import { VirtualFleet } from '../stand-ins/virtualFleet.js'
 import { FRUGAL_LENDING, LendingPolicy } from './allowancePolicy.js'
 import { AllowanceParts } from './allowanceParts.js'
@@ -17,21 +17,21 @@
 const SECONDS = 12
 const REGION_MS = 35
 
-const places = placesOver(['n', 'm', 's'], 2, 4)
+const places = createLocations(['n', 'm', 's'], 2, 4)
 const nameOf = (number: number): string => `w${number}`
 
 const plan: Plan = {
   version: 1,
-  terms: { ...ordinaryTerms, shiftCap: 0.15, shiftWindowMs: 2_000 },
+  terms: { ...defaultTerms, shiftCap: 0.15, shiftWindowMs: 2_000 },
   routes: [{ route: toId('read'), authority: 'a.example', prefix: '/', repetition: 'idempotent', timeoutMs: 800, targetMs: 300, rank: 0, split: [{ service: toId('s'), weight: 1 }], attempts: 2, isOpen: false, hasAffinity: false, allowedRegions: [] }],
   services: [{ service: toId('s'), healthPath: '/health', connections: 100, warmup: { coldMs: 0, ratePerS: 100 } }],
-  workspaces: DEMANDS.map((demand, number) => ({ workspace: toId<WorkspaceId>(nameOf(number)), keys: [keyOf(nameOf(number))], rank: 0, rate: demand * RATE_OVER_DEMAND, burst: demand * RATE_OVER_DEMAND, allowedRegions: [] })),
+  workspaces: DEMANDS.map((demand, number) => ({ workspace: toId<WorkspaceId>(nameOf(number)), keys: [keyDigestOf(nameOf(number))], rank: 0, rate: demand * RATE_OVER_DEMAND, burst: demand * RATE_OVER_DEMAND, allowedRegions: [] })),
   document: null
 }
 
 t.test('callers of workspaces large and small that keep to five eighths of their rate are not refused', async t => {
   const fleet = new VirtualFleet(5)
-  fleet.network.delay = delayBetween(REGION_MS)
+  fleet.network.delay = delayByRegion(REGION_MS)
   const entry = new VirtualEntry(fleet, places, new ConfigurationBuilder().run({ kind: 'put-plan', plan }).snapshot(), () => ({ ...defaultPolicies(), allowance: new LendingPolicy(FRUGAL_LENDING) }))
   for (const zone of ['n1', 'n2', 'm1', 'm2', 's1', 's2']) entry.addServer('s', `server-${zone}`, zone, 200, 20)
   fleet.runFor(8_000)
@@ -46,7 +46,7 @@
   fleet.runFor(3_000)
   const refused = entry.outcomes.filter(row => row.reason === 'over-rate')
   const byWorkspace = DEMANDS.map((_, number) => refused.filter(row => row.workspace === nameOf(number)).length)
-  t.ok(refused.length <= entry.sent * 0.005, `${refused.length} of ${entry.sent} refused: ${byWorkspace.join(', ')}`)
+  t.ok(refused.length <= entry.sentCount * 0.005, `${refused.length} of ${entry.sentCount} refused: ${byWorkspace.join(', ')}`)
   const waits = entry.outcomes.filter(row => row.kind === 'served').map(row => row.endedAt - row.sentAt - 20).sort((a, b) => a - b)
   const p95 = waits[Math.floor(waits.length * 0.95)] ?? 0
   t.ok(p95 <= 2 * REGION_MS + 10, `95 in 100 wait no longer than a trip to another region and back: ${p95} ms`)
--- a/src/affinity/affinity.spec.ts
+++ b/src/affinity/affinity.spec.ts
@@ -7,9 +7,9 @@
 import { RankedMaxMinQueue } from '../exchange/queuePolicy.js'
 import type { Plan } from '../plan/types.js'
 import { SharedRetries } from '../retry-budget/retryBudget.js'
-import { ConfigurationBuilder, ordinaryTerms } from '../stand-ins/configurationBuilder.js'
+import { ConfigurationBuilder, defaultTerms } from '../stand-ins/configurationBuilder.js'
 import { VirtualEntry } from '../stand-ins/virtualEntry.js'
-import { delayBetween, placesOver } from '../stand-ins/virtualPlaces.js'
+import { delayByRegion, createLocations } from '../stand-ins/virtualTopology.js'
 import { VirtualFleet } from '../stand-ins/virtualFleet.js'
 import type { BackendRow } from '../announcement/types.js'
 import { OBJECT_SPAN, createAffinityTables, hasObject, noteObject } from './recentObjects.js'
@@ -28,12 +28,12 @@
 const MEASURED_MS = 10_000
 
 const regions = ['n', 'm', 's']
-const places = placesOver(regions, 2, 2)
+const places = createLocations(regions, 2, 2)
 const serversOf: Readonly<Record<string, number>> = { n1: 1, n2: 1, m1: 2, m2: 2, s1: 3, s2: 3 }
 
 const plan: Plan = {
   version: 1,
-  terms: { ...ordinaryTerms, shiftCap: 0.15, shiftWindowMs: 2_000 },
+  terms: { ...defaultTerms, shiftCap: 0.15, shiftWindowMs: 2_000 },
   routes: [{ route: toId('read'), authority: 'a.example', prefix: '/', repetition: 'idempotent', timeoutMs: 800, targetMs: TARGET_MS, rank: 0, split: [{ service: toId('s'), weight: 1 }], attempts: 2, isOpen: true, hasAffinity: true, allowedRegions: [] }],
   services: [{ service: toId('s'), healthPath: '/health', connections: 100, warmup: { coldMs: 0, ratePerS: 100 } }],
   workspaces: [],
@@ -43,14 +43,14 @@
 /** Part of the requests of the measured time that were answered within their target, by region and over all. */
 const play = (choice: () => BackendChoice, perSecond = PER_SECOND): { readonly all: number, readonly worst: number } => {
   const fleet = new VirtualFleet(9)
-  fleet.network.delay = delayBetween(REGION_MS)
+  fleet.network.delay = delayByRegion(REGION_MS)
   const entry = new VirtualEntry(fleet, places, new ConfigurationBuilder().run({ kind: 'put-plan', plan }).snapshot(), () => ({ ...defaultPolicies(), queue: new RankedMaxMinQueue(), retries: new SharedRetries({ ratio: 0.2, slack: 100 }), choice: choice() }))
   for (const [zone, count] of Object.entries(serversOf)) {
     for (let number = 1; number <= count; number += 1) {
       const server = entry.addServer('s', `server-${zone}-${number}`, zone, 6, COLD_MS)
-      server.tellsLoad = true
-      server.queue = 18
-      server.memory = { most: SERVER_MEMORY, warmPart: WARM_PART, objects: new Set() }
+      server.reportsLoad = true
+      server.queueCapacity = 18
+      server.cache = { capacity: SERVER_MEMORY, warmFactor: WARM_PART, objects: new Set() }
     }
   }
   fleet.runFor(8_000)
--- a/src/affinity/deskLoad.spec.ts
+++ b/src/affinity/deskLoad.spec.ts
@@ -1,46 +1,46 @@
 import t from 'tap'
 import { TwoChoices } from '../backend-choice/backendChoice.js'
-import { playDesk } from '../stand-ins/deskLoad.js'
-import type { DeskOutcome } from '../stand-ins/deskLoad.js'
+import { runBookingLoad } from '../stand-ins/bookingLoad.js'
+import type { BookingLoadResult } from '../stand-ins/bookingLoad.js'
 
 const WARM_UP_MS = 6_000
 const MEASURED_MS = 12_000
 
-const describe = (outcome: DeskOutcome): string => JSON.stringify(outcome)
+const describe = (outcome: BookingLoadResult): string => JSON.stringify(outcome)
 
 t.test('ordinary load and half as much again earn nearly all, also in the smallest region', async t => {
   for (const load of [1, 1.5]) {
-    const outcome = playDesk({ load, warmUpMs: WARM_UP_MS, measuredMs: MEASURED_MS })
+    const outcome = runBookingLoad({ load, warmUpMs: WARM_UP_MS, measuredMs: MEASURED_MS })
     t.ok(outcome.all >= 0.95 && outcome.worstRegion >= 0.9, `load ${load}: ${describe(outcome)}`)
   }
 })
 
 t.test('a load that fills four fifths of all slots, were each object known, is served for the most part', async t => {
-  const outcome = playDesk({ load: 2.2, warmUpMs: WARM_UP_MS, measuredMs: MEASURED_MS })
+  const outcome = runBookingLoad({ load: 2.2, warmUpMs: WARM_UP_MS, measuredMs: MEASURED_MS })
   t.ok(outcome.all >= 0.85 && outcome.worstRegion >= 0.8, describe(outcome))
-  const baseline = playDesk({ load: 2.2, warmUpMs: WARM_UP_MS, measuredMs: MEASURED_MS, policies: { choice: new TwoChoices() } })
+  const baseline = runBookingLoad({ load: 2.2, warmUpMs: WARM_UP_MS, measuredMs: MEASURED_MS, policies: { choice: new TwoChoices() } })
   t.ok(baseline.all < outcome.all, `two choices: ${describe(baseline)}`)
 })
 
 t.test('a zone with a quarter of the servers leaves at twice the ordinary load', async t => {
-  const trouble: Parameters<typeof playDesk>[0]['trouble'] = servers => {
+  const trouble: Parameters<typeof runBookingLoad>[0]['injectFaults'] = servers => {
     for (const server of servers) {
       if (server.announcement.zone === 's2') server.announcement = { ...server.announcement, state: 'draining' }
     }
   }
-  const outcome = playDesk({ load: 2, warmUpMs: WARM_UP_MS, measuredMs: 9_000, trouble })
+  const outcome = runBookingLoad({ load: 2, warmUpMs: WARM_UP_MS, measuredMs: 9_000, injectFaults: trouble })
   t.ok(outcome.all >= 0.75, `three quarters of the worth are earned: ${describe(outcome)}`)
 })
 
 t.test('a load beyond what all servers together can do is turned away, not answered late', async t => {
-  const outcome = playDesk({ load: 3.2, warmUpMs: WARM_UP_MS, measuredMs: 8_000 })
+  const outcome = runBookingLoad({ load: 3.2, warmUpMs: WARM_UP_MS, measuredMs: 8_000 })
   t.ok(outcome.all >= 0.7, `most of what fits is earned: ${describe(outcome)}`)
 })
 
 t.test('two servers in five turn twelve times slower', async t => {
-  const trouble: Parameters<typeof playDesk>[0]['trouble'] = servers => {
-    for (const [number, server] of servers.entries()) server.slowness = number % 5 < 2 ? 12 : 1
+  const trouble: Parameters<typeof runBookingLoad>[0]['injectFaults'] = servers => {
+    for (const [number, server] of servers.entries()) server.slowdownFactor = number % 5 < 2 ? 12 : 1
   }
-  const outcome = playDesk({ load: 1, warmUpMs: WARM_UP_MS, measuredMs: 9_000, trouble })
+  const outcome = runBookingLoad({ load: 1, warmUpMs: WARM_UP_MS, measuredMs: 9_000, injectFaults: trouble })
   t.ok(outcome.all >= 0.75, describe(outcome))
 })
--- a/src/announcement/announcement.spec.ts
+++ b/src/announcement/announcement.spec.ts
@@ -1,13 +1,13 @@
 import t from 'tap'
-import { ConfigurationBuilder, ordinaryTerms } from '../stand-ins/configurationBuilder.js'
+import { ConfigurationBuilder, defaultTerms } from '../stand-ins/configurationBuilder.js'
 import { VirtualEntry } from '../stand-ins/virtualEntry.js'
-import { placesOver } from '../stand-ins/virtualPlaces.js'
+import { createLocations } from '../stand-ins/virtualTopology.js'
 import { VirtualFleet } from '../stand-ins/virtualFleet.js'
 
 t.test('a server that is gone while a request still runs there is remembered without waking the host all the time', async t => {
-  const places = placesOver(['n'], 1, 1)
+  const places = createLocations(['n'], 1, 1)
   const fleet = new VirtualFleet(1)
-  const entry = new VirtualEntry(fleet, places, new ConfigurationBuilder().profile(ordinaryTerms).service('upload', 600_000).hosts(places).workspace('w', 100, 50).snapshot())
+  const entry = new VirtualEntry(fleet, places, new ConfigurationBuilder().profile(defaultTerms).service('upload', 600_000).hosts(places).workspace('w', 100, 50).snapshot())
   const server = entry.addServer('upload', 'server', 'n1', 4, 300_000)
   fleet.runFor(2_000)
   entry.send('n1-1', { service: 'upload', workspace: 'w', method: 'POST' })
--- a/src/backend-choice/unevenRegions.spec.ts
+++ b/src/backend-choice/unevenRegions.spec.ts
@@ -7,9 +7,9 @@
 import type { Plan } from '../plan/types.js'
 import { SharedRetries } from '../retry-budget/retryBudget.js'
 import { awayByCapacity } from '../shift/capacityPlan.js'
-import { ConfigurationBuilder, ordinaryTerms } from '../stand-ins/configurationBuilder.js'
+import { ConfigurationBuilder, defaultTerms } from '../stand-ins/configurationBuilder.js'
 import { VirtualEntry } from '../stand-ins/virtualEntry.js'
-import { delayBetween, placesOver } from '../stand-ins/virtualPlaces.js'
+import { delayByRegion, createLocations } from '../stand-ins/virtualTopology.js'
 import { VirtualFleet } from '../stand-ins/virtualFleet.js'
 import { ExpectedLatency, RandomChoice, TwoChoices } from './backendChoice.js'
 
@@ -21,12 +21,12 @@
 const PER_SECOND = 90
 const SECONDS = 12
 
-const places = placesOver(['n', 'm', 's'], 1, 2)
+const places = createLocations(['n', 'm', 's'], 1, 2)
 const serversOf: Readonly<Record<string, number>> = { n1: 1, m1: 2, s1: 3 }
 
 const plan: Plan = {
   version: 1,
-  terms: { ...ordinaryTerms, shiftCap: 0.1, shiftWindowMs: SHIFT_WINDOW_MS },
+  terms: { ...defaultTerms, shiftCap: 0.1, shiftWindowMs: SHIFT_WINDOW_MS },
   routes: [{ route: toId('read'), authority: 'a.example', prefix: '/', repetition: 'idempotent', timeoutMs: 2_000, targetMs: TARGET_MS, rank: 0, split: [{ service: toId('s'), weight: 1 }], attempts: 2, isOpen: true, hasAffinity: true, allowedRegions: [] }],
   services: [{ service: toId('s'), healthPath: '/health', connections: 100, warmup: { coldMs: 0, ratePerS: 100 } }],
   workspaces: [],
@@ -35,13 +35,13 @@
 
 const play = (changes: Partial<EntryPolicies>): { entry: VirtualEntry, inTarget: number, sent: number } => {
   const fleet = new VirtualFleet(9)
-  fleet.network.delay = delayBetween(REGION_MS)
+  fleet.network.delay = delayByRegion(REGION_MS)
   const entry = new VirtualEntry(fleet, places, new ConfigurationBuilder().run({ kind: 'put-plan', plan }).snapshot(), () => ({ ...defaultPolicies(), queue: new RankedMaxMinQueue(), retries: new SharedRetries({ ratio: 0.2, slack: 100 }), ...changes }))
   for (const [zone, count] of Object.entries(serversOf)) {
     for (let number = 1; number <= count; number += 1) {
       const server = entry.addServer('s', `server-${zone}-${number}`, zone, 6, WORK_MS)
-      server.tellsLoad = true
-      server.queue = 18
+      server.reportsLoad = true
+      server.queueCapacity = 18
     }
   }
   fleet.runFor(8_000)
@@ -53,7 +53,7 @@
   }
   fleet.runFor(4_000)
   const inTarget = entry.outcomes.filter(row => row.kind === 'served' && row.endedAt - row.sentAt <= TARGET_MS).length
-  return { entry, inTarget, sent: entry.sent }
+  return { entry, inTarget, sent: entry.sentCount }
 }
 
 t.test('a region with a third of the slots uses those of others from the first window on', async t => {
--- a/src/beliefs/beliefSystem.spec.ts
+++ b/src/beliefs/beliefSystem.spec.ts
@@ -3,11 +3,11 @@
 import type { HostId } from '../core/id.js'
 import type { Millis } from '../core/tick.js'
 import type { Journal } from '../journal/journal.js'
-import { ConfigurationBuilder, ordinaryTerms } from '../stand-ins/configurationBuilder.js'
+import { ConfigurationBuilder, defaultTerms } from '../stand-ins/configurationBuilder.js'
 import { VirtualControl } from '../stand-ins/virtualControl.js'
 import { VirtualEntry } from '../stand-ins/virtualEntry.js'
 import { VirtualFleet } from '../stand-ins/virtualFleet.js'
-import { placesOver } from '../stand-ins/virtualPlaces.js'
+import { createLocations } from '../stand-ins/virtualTopology.js'
 
 // Figures that say when something was seen would only repeat the schedule of probes.
 const tell = (journal: Journal, from: Millis): string[] => {
@@ -21,7 +21,7 @@
 
 t.test('an entry host tells which peers and servers it lost and regained, and nothing twice', async t => {
   const fleet = new VirtualFleet(1)
-  const entry = new VirtualEntry(fleet, placesOver(['n'], 1, 3), new ConfigurationBuilder().profile(ordinaryTerms).service('s').snapshot())
+  const entry = new VirtualEntry(fleet, createLocations(['n'], 1, 3), new ConfigurationBuilder().profile(defaultTerms).service('s').snapshot())
   entry.addServer('s', 'one', 'n1', 4, 20)
   entry.addServer('s', 'two', 'n1', 4, 20)
   const { journal } = entry.tables('n1-1')
@@ -51,11 +51,11 @@
   if (leader === undefined || follower === undefined) throw new Error('no leader')
   const { journal } = control.tables(follower)
   const cutAt = fleet.now
-  fleet.network.isCut = (from, to) => from === follower || to === follower
+  fleet.network.isPartitioned = (from, to) => from === follower || to === follower
   fleet.runFor(8_000)
   const cut = tell(journal, cutAt).filter(line => !line.startsWith('configuration'))
   const joinedAt = fleet.now
-  fleet.network.isCut = () => false
+  fleet.network.isPartitioned = () => false
   fleet.runFor(8_000)
   t.matchSnapshot({ leader, follower, cut, joined: tell(journal, joinedAt).filter(line => !line.startsWith('configuration')) })
 })
--- a/src/bench/capacity.ts
+++ b/src/bench/capacity.ts
@@ -14,7 +14,7 @@
 import { VirtualControl } from '../stand-ins/virtualControl.js'
 import { ConfigurationBuilder } from '../stand-ins/configurationBuilder.js'
 import { VirtualEntry } from '../stand-ins/virtualEntry.js'
-import { delayBetween, placesOver } from '../stand-ins/virtualPlaces.js'
+import { delayByRegion, createLocations } from '../stand-ins/virtualTopology.js'
 import { VirtualFleet } from '../stand-ins/virtualFleet.js'
 import { BlockTable } from '../lookup/blockTable.js'
 import { makeBlocks } from './lookups.js'
@@ -40,9 +40,9 @@
 }
 
 const measureNodes = (say: Say, hostsPerZone: number): void => {
-  const places = placesOver(['n', 'm', 's'], 2, hostsPerZone)
+  const places = createLocations(['n', 'm', 's'], 2, hostsPerZone)
   const fleet = new CountingFleet(1)
-  fleet.network.delay = delayBetween(27)
+  fleet.network.delay = delayByRegion(27)
   const control = new VirtualControl(fleet, ['n1-c', 'm1-c', 's1-c'])
   const entry = new VirtualEntry(fleet, places, { ...new ConfigurationBuilder().snapshot(), index: 0 })
   for (const place of places) {
@@ -54,12 +54,12 @@
   fleet.runFor(SETTLE_MS)
   const nodes = places.length + 3
   fleet.bytes = 0
-  fleet.messages = 0
+  fleet.messageCount = 0
   const cpu = process.cpuUsage()
   fleet.runFor(OBSERVED_MS)
   const idleCpu = process.cpuUsage(cpu)
   const idleBytes = fleet.bytes
-  const idleMessages = fleet.messages
+  const idleMessages = fleet.messageCount
   const times: number[] = []
   for (let n = 0; n < CHANGES; n += 1) {
     const leader = control.leaders()[0]
--- a/src/bench/latency.ts
+++ b/src/bench/latency.ts
@@ -4,8 +4,8 @@
 import { digestKey } from '../key-check/keyCheck.js'
 import { BackendServer } from '../stand-ins/backendServer.js'
 import { startLocalEntry } from '../stand-ins/localEntry.js'
-import { ConfigurationBuilder, ordinaryTerms } from '../stand-ins/configurationBuilder.js'
-import { placesOver } from '../stand-ins/virtualPlaces.js'
+import { ConfigurationBuilder, defaultTerms } from '../stand-ins/configurationBuilder.js'
+import { createLocations } from '../stand-ins/virtualTopology.js'
 
 const KEY = 'bench-key-0123456789'
 const ROUNDS = 3_000
@@ -15,7 +15,7 @@
 
 /** Measures and prints. */
 export const measureLatency = async (say: (line: string) => void): Promise<void> => {
-  const snapshot = new ConfigurationBuilder().profile(ordinaryTerms).service('lookup').hosts(placesOver(['n'], 1, 1))
+  const snapshot = new ConfigurationBuilder().profile(defaultTerms).service('lookup').hosts(createLocations(['n'], 1, 1))
     .workspace('w', 1_000_000, 1_000_000).run({ kind: 'give-key', digest: digestKey(KEY), workspace: 'w' as never }).snapshot()
   const entry = await startLocalEntry({ snapshot })
   const server = new BackendServer({ service: 'lookup', backend: 'b', region: 'n', zone: 'n1', address: '127.0.0.1', port: 0, slots: 64, announceTo: [`127.0.0.1:${entry.announcementPort}`], token: 'announcement-token-of-tests', workMs: 0 })
--- a/src/bench/lookups.ts
+++ b/src/bench/lookups.ts
@@ -10,8 +10,8 @@
 import { answerLookup } from '../lookup/lookupSystem.js'
 import type { LookupReceived } from '../lookup/types.js'
 import { startLocalEntry } from '../stand-ins/localEntry.js'
-import { ConfigurationBuilder, ordinaryTerms } from '../stand-ins/configurationBuilder.js'
-import { placesOver } from '../stand-ins/virtualPlaces.js'
+import { ConfigurationBuilder, defaultTerms } from '../stand-ins/configurationBuilder.js'
+import { createLocations } from '../stand-ins/virtualTopology.js'
 
 /** Client blocks at the size to design for. */
 export const TARGET_BLOCKS = 570_000
@@ -36,7 +36,7 @@
   return blocks
 }
 
-const snapshot = new ConfigurationBuilder().profile(ordinaryTerms).service('lookup').hosts(placesOver(['n', 'm', 's'], 2, 4)).snapshot()
+const snapshot = new ConfigurationBuilder().profile(defaultTerms).service('lookup').hosts(createLocations(['n', 'm', 's'], 2, 4)).snapshot()
 
 /** Measures and prints. */
 export const measureLookups = async (say: (line: string) => void): Promise<void> => {
--- a/src/bench/runScenario.ts
+++ b/src/bench/runScenario.ts
@@ -5,9 +5,9 @@
 import type { EntryPolicies } from '../entry/entryWorld.js'
 import { grantsOver } from '../invariants/allowanceInvariant.js'
 import { doubledRuns } from '../invariants/runInvariant.js'
-import { ConfigurationBuilder, ordinaryTerms } from '../stand-ins/configurationBuilder.js'
+import { ConfigurationBuilder, defaultTerms } from '../stand-ins/configurationBuilder.js'
 import { VirtualEntry } from '../stand-ins/virtualEntry.js'
-import { delayBetween, placesOver } from '../stand-ins/virtualPlaces.js'
+import { delayByRegion, createLocations } from '../stand-ins/virtualTopology.js'
 import type { VirtualOutcome } from '../stand-ins/virtualEntry.js'
 import { VirtualFleet } from '../stand-ins/virtualFleet.js'
 import type { Scenario, ScenarioEvent } from './scenarioSchema.js'
@@ -42,13 +42,13 @@
 interface Run { readonly scenario: Scenario, readonly fleet: VirtualFleet, readonly entry: VirtualEntry, readonly loads: Map<string, number>, readonly drains: Map<string, number>, readonly cut: Set<string> }
 
 const build = (scenario: Scenario, seed: number, policies: () => EntryPolicies): Run => {
-  const places = placesOver(scenario.regions, ZONES_PER_REGION, scenario.hostsPerZone)
+  const places = createLocations(scenario.regions, ZONES_PER_REGION, scenario.hostsPerZone)
   const fleet = new VirtualFleet(seed)
-  fleet.network.delay = delayBetween(scenario.regionDelayMs)
+  fleet.network.delay = delayByRegion(scenario.regionDelayMs)
   const cut = new Set<string>()
   const zoneOf = (host: HostId): string => host.split('-', 1)[0] ?? ''
-  fleet.network.isCut = (from, to) => cut.has(zoneOf(from)) !== cut.has(zoneOf(to))
-  const builder = new ConfigurationBuilder().profile(ordinaryTerms).hosts(places)
+  fleet.network.isPartitioned = (from, to) => cut.has(zoneOf(from)) !== cut.has(zoneOf(to))
+  const builder = new ConfigurationBuilder().profile(defaultTerms).hosts(places)
   for (const row of scenario.services) builder.service(row.service, row.timeoutMs)
   for (const row of scenario.workspaces) builder.workspace(row.workspace, row.rate, row.burst)
   const entry = new VirtualEntry(fleet, places, builder.snapshot(), policies)
@@ -67,19 +67,19 @@
   switch (event.kind) {
     case 'load': loads.set(event.workspace, event.load); return
     case 'drain':
-      entry.leave(event.server)
+      entry.startDrain(event.server)
       drains.set(event.server, fleet.now)
       return
     case 'crash': {
       const server = entry.servers.get(event.server)
-      if (server !== undefined) entry.crash(server, 2_000)
+      if (server !== undefined) entry.crashServer(server, 2_000)
       return
     }
     case 'restart': {
       const node = fleet.nodes.get(toId<HostId>(event.host))
-      const place = entry.places.find(row => row.host === event.host)
+      const place = entry.locations.find(row => row.host === event.host)
       if (node !== undefined) node.isDown = true
-      if (place !== undefined) entry.start(place)
+      if (place !== undefined) entry.startHost(place)
       return
     }
     case 'cut-zone': cut.add(event.zone); return
@@ -106,7 +106,7 @@
 }
 
 const findHost = (run: Run, wanted: number): string => {
-  const { places } = run.entry
+  const { locations: places } = run.entry
   for (let step = 0; step < places.length; step += 1) {
     const host = places[(wanted + step) % places.length]?.host ?? ''
     const node = run.fleet.nodes.get(toId<HostId>(host))
@@ -126,14 +126,14 @@
   const latencies = inRate.filter(row => row.kind === 'served').map(row => row.endedAt - row.sentAt).sort((a, b) => a - b)
   let over = 0
   for (const row of scenario.workspaces) {
-    over = Math.max(over, grantsOver(entry.grants.filter(grant => grant.workspace === row.workspace), row.rate, row.burst))
+    over = Math.max(over, grantsOver(entry.admissions.filter(grant => grant.workspace === row.workspace), row.rate, row.burst))
   }
   let drainMs = 0
   for (const [name, at] of drains) drainMs = Math.max(drainMs, (entry.servers.get(name)?.lastStartedAt ?? 0) - at)
   let sheds = 0
-  for (const server of entry.servers.values()) sheds += server.shed
+  for (const server of entry.servers.values()) sheds += server.shedCount
   return {
-    requests: entry.sent,
+    requests: entry.sentCount,
     served: entry.outcomes.filter(row => row.kind === 'served').length,
     wrongfulRefusals: inRate.filter(row => row.reason === 'over-rate').length / Math.max(1, inRate.length),
     worstServed: worst?.share ?? 1,
@@ -144,7 +144,7 @@
     doubledRuns: doubledRuns(entry.runs),
     grantsOver: over,
     drainMs: Math.max(0, drainMs),
-    messages: fleet.messages,
+    messages: fleet.messageCount,
     latencies
   }
 }
--- a/src/entry/readiness.spec.ts
+++ b/src/entry/readiness.spec.ts
@@ -2,15 +2,15 @@
 import { toId } from '../core/id.js'
 import { loanEnd } from '../admission/allowanceBucket.js'
 import type { Plan } from '../plan/types.js'
-import { ConfigurationBuilder, ordinaryTerms } from '../stand-ins/configurationBuilder.js'
+import { ConfigurationBuilder, defaultTerms } from '../stand-ins/configurationBuilder.js'
 import { VirtualEntry } from '../stand-ins/virtualEntry.js'
 import { VirtualFleet } from '../stand-ins/virtualFleet.js'
-import { placesOver } from '../stand-ins/virtualPlaces.js'
+import { createLocations } from '../stand-ins/virtualTopology.js'
 import { isReady } from './readiness.js'
 
 const plan: Plan = {
   version: 1,
-  terms: ordinaryTerms,
+  terms: defaultTerms,
   routes: [],
   services: [{ service: toId('s'), healthPath: '/health', connections: 100, warmup: { coldMs: 0, ratePerS: 100 } }],
   workspaces: [],
@@ -19,7 +19,7 @@
 
 t.test('a host is ready once it has a configuration, a server in service and allowances that earn', async t => {
   const fleet = new VirtualFleet(1)
-  const [place] = placesOver(['n'], 1, 1)
+  const [place] = createLocations(['n'], 1, 1)
   if (place === undefined) throw new Error('no place')
   const entry = new VirtualEntry(fleet, [place], new ConfigurationBuilder().run({ kind: 'put-plan', plan }).snapshot())
   const startedAt = fleet.now
@@ -29,7 +29,7 @@
   const beforeLoansEnd = readyNow()
   fleet.runUntil(loanEnd(startedAt) + 1)
   const after = readyNow()
-  entry.leave('one')
+  entry.startDrain('one')
   fleet.runFor(2_000)
   const withoutServer = readyNow()
   entry.addServer('s', 'two', 'n1', 6, 20)
--- a/src/exchange/overload.spec.ts
+++ b/src/exchange/overload.spec.ts
@@ -1,18 +1,18 @@
 import t from 'tap'
 import { toId } from '../core/id.js'
-import { ConfigurationBuilder, ordinaryTerms } from '../stand-ins/configurationBuilder.js'
+import { ConfigurationBuilder, defaultTerms } from '../stand-ins/configurationBuilder.js'
 import { VirtualEntry } from '../stand-ins/virtualEntry.js'
-import { placesOver } from '../stand-ins/virtualPlaces.js'
+import { createLocations } from '../stand-ins/virtualTopology.js'
 import { VirtualFleet } from '../stand-ins/virtualFleet.js'
 import type { Plan } from '../plan/types.js'
 import { BEHIND, examine } from './requestSystem.js'
 import type { RequestReceived } from './types.js'
 
-const places = placesOver(['n'], 1, 1)
+const places = createLocations(['n'], 1, 1)
 
 const plan: Plan = {
   version: 1,
-  terms: ordinaryTerms,
+  terms: defaultTerms,
   routes: [{ route: toId('read'), authority: 'a.example', prefix: '/', repetition: 'idempotent', timeoutMs: 2_000, targetMs: 300, rank: 0, split: [{ service: toId('s'), weight: 1 }], attempts: 2, isOpen: true, hasAffinity: true, allowedRegions: [] }],
   services: [{ service: toId('s'), healthPath: '/health', connections: 10, warmup: { coldMs: 0, ratePerS: 100 } }],
   workspaces: [],
--- a/src/exchange/silence.spec.ts
+++ b/src/exchange/silence.spec.ts
@@ -4,16 +4,16 @@
 import { defaultPolicies } from '../entry/entryWorld.js'
 import { ExpectedLatency } from '../backend-choice/backendChoice.js'
 import { SharedRetries } from '../retry-budget/retryBudget.js'
-import { ConfigurationBuilder, ordinaryTerms } from '../stand-ins/configurationBuilder.js'
+import { ConfigurationBuilder, defaultTerms } from '../stand-ins/configurationBuilder.js'
 import { VirtualEntry } from '../stand-ins/virtualEntry.js'
-import { placesOver } from '../stand-ins/virtualPlaces.js'
+import { createLocations } from '../stand-ins/virtualTopology.js'
 import { VirtualFleet } from '../stand-ins/virtualFleet.js'
 
-const places = placesOver(['n'], 1, 1)
+const places = createLocations(['n'], 1, 1)
 
 const plan: Plan = {
   version: 1,
-  terms: ordinaryTerms,
+  terms: defaultTerms,
   routes: [
     { route: toId('read'), authority: 'a.example', prefix: '/read/', repetition: 'idempotent', timeoutMs: 2_000, targetMs: 300, rank: 0, split: [{ service: toId('s'), weight: 1 }], attempts: 2, isOpen: true, hasAffinity: true, allowedRegions: [] },
     { route: toId('write'), authority: 'a.example', prefix: '/write/', repetition: 'at-most-once', timeoutMs: 2_000, targetMs: 300, rank: 0, split: [{ service: toId('s'), weight: 1 }], attempts: 2, isOpen: true, hasAffinity: true, allowedRegions: [] }
@@ -27,7 +27,7 @@
   const fleet = new VirtualFleet(seed)
   const snapshot = new ConfigurationBuilder().run({ kind: 'put-plan', plan }).snapshot()
   const entry = new VirtualEntry(fleet, places, snapshot, () => ({ ...defaultPolicies(), choice: new ExpectedLatency(), retries: new SharedRetries({ ratio: 0.5, slack: 20 }) }))
-  for (const name of ['one', 'two']) entry.addServer('s', name, 'n1', 4, 50).tellsLoad = true
+  for (const name of ['one', 'two']) entry.addServer('s', name, 'n1', 4, 50).reportsLoad = true
   fleet.runFor(6_000)
   return { fleet, entry }
 }
@@ -42,7 +42,7 @@
   }
   const silent = entry.servers.get('one')
   if (silent === undefined) throw new Error('no server')
-  silent.script = () => ({ afterMs: 1_000_000, result: { kind: 'lost', reason: 'never' } })
+  silent.scriptAttempt = () => ({ afterMs: 1_000_000, result: { kind: 'lost', reason: 'never' } })
   const from = entry.outcomes.length
   for (let count = 0; count < 80; count += 1) {
     send(entry, count % 4 === 3 ? '/write/1' : '/read/1', `object-${count}`)
@@ -54,5 +54,5 @@
   const unknown = after.filter(row => row.ran === 'unknown').length
   t.ok(reads + unknown >= 70, 'every request has an end')
   t.ok(after.filter(row => row.kind === 'served').length >= 60, 'most are served by the other server')
-  t.ok(silent.started <= 40, 'the silent one soon gets nothing more')
+  t.ok(silent.startedCount <= 40, 'the silent one soon gets nothing more')
 })
--- a/src/front-end/callerServer.spec.ts
+++ b/src/front-end/callerServer.spec.ts
@@ -5,8 +5,8 @@
 import type { Test } from 'tap'
 import { request } from 'undici'
 import { digestKey } from '../key-check/keyCheck.js'
-import { ConfigurationBuilder, ordinaryTerms } from '../stand-ins/configurationBuilder.js'
-import { placesOver } from '../stand-ins/virtualPlaces.js'
+import { ConfigurationBuilder, defaultTerms } from '../stand-ins/configurationBuilder.js'
+import { createLocations } from '../stand-ins/virtualTopology.js'
 import { startLocalEntry } from '../stand-ins/localEntry.js'
 import type { LocalEntry } from '../stand-ins/localEntry.js'
 
@@ -18,9 +18,9 @@
 interface Scene { readonly entry: LocalEntry, readonly base: string, readonly addServer: (name: string, handler: Handler) => Promise<void> }
 
 const snapshot = new ConfigurationBuilder()
-  .profile(ordinaryTerms)
+  .profile(defaultTerms)
   .service('coupons', 4_000)
-  .hosts(placesOver(['n'], 1, 1))
+  .hosts(createLocations(['n'], 1, 1))
   .workspace('partner', 10_000, 10_000)
   .run({ kind: 'give-key', digest: digestKey(KEY), workspace: 'partner' as never })
   .snapshot()
--- a/src/gossip/gossip.spec.ts
+++ b/src/gossip/gossip.spec.ts
@@ -3,13 +3,13 @@
 import type { HostId, OperatorId, RequestId } from '../core/id.js'
 import type { Command, CommandEnvelope } from '../configuration/types.js'
 import { installSnapshot, takeSnapshot } from '../configuration/configurationTables.js'
-import { ConfigurationBuilder, keyOf, ordinaryTerms } from '../stand-ins/configurationBuilder.js'
+import { ConfigurationBuilder, keyDigestOf, defaultTerms } from '../stand-ins/configurationBuilder.js'
 import { VirtualEntry } from '../stand-ins/virtualEntry.js'
-import { delayBetween, placesOver } from '../stand-ins/virtualPlaces.js'
+import { delayByRegion, createLocations } from '../stand-ins/virtualTopology.js'
 import { VirtualControl } from '../stand-ins/virtualControl.js'
 import { VirtualFleet } from '../stand-ins/virtualFleet.js'
 
-const places = placesOver(['n', 'm', 's'], 2, 4)
+const places = createLocations(['n', 'm', 's'], 2, 4)
 
 const id = (name: string): HostId => toId<HostId>(name)
 
@@ -23,9 +23,9 @@
 interface Fleet { readonly fleet: VirtualFleet, readonly control: VirtualControl, readonly entry: VirtualEntry, readonly leader: () => HostId, readonly run: (command: Command) => void }
 
 // Control hosts sit in the first zone of each region; names begin with their zone so that delays and cuts apply to them.
-const start = (seed: number, terms = ordinaryTerms): Fleet => {
+const start = (seed: number, terms = defaultTerms): Fleet => {
   const fleet = new VirtualFleet(seed)
-  fleet.network.delay = delayBetween(27)
+  fleet.network.delay = delayByRegion(27)
   const control = new VirtualControl(fleet, ['n1-c', 'm1-c', 's1-c'])
   const empty = new ConfigurationBuilder().snapshot()
   const entry = new VirtualEntry(fleet, places, { ...empty, index: 0 })
@@ -51,7 +51,7 @@
   run({ kind: 'approve-profile', profile: toId('careful'), version: 1 })
   run({ kind: 'put-service', service: toId('lookup'), expectedVersion: 0, profile: toId('careful'), profileVersion: 1, timeoutMs: 2_000, openPaths: [] })
   run({ kind: 'put-workspace', workspace: toId('w'), expectedVersion: 0, rate: 10_000, burst: 10_000, weight: 1 })
-  run({ kind: 'give-key', digest: keyOf('w'), workspace: toId('w') })
+  run({ kind: 'give-key', digest: keyDigestOf('w'), workspace: toId('w') })
   const parts = Math.floor(10_000 / places.length)
   for (const place of places) run({ kind: 'register-host', entryHost: { host: id(place.host), region: toId(place.region), zone: toId(place.zone), site: toId(place.zone), parts } })
   for (const zone of ['n1', 'n2', 'm1', 'm2', 's1', 's2']) entry.addServer('lookup', `server-${zone}`, zone, 6, 5)
@@ -92,45 +92,45 @@
   const fleet = start(2)
   t.same(ask(fleet, everyHost), { served: places.length })
   // The zone n1 keeps its control host but loses everybody else.
-  fleet.fleet.network.isCut = (from, to) => from.startsWith('n1') !== to.startsWith('n1')
+  fleet.fleet.network.isPartitioned = (from, to) => from.startsWith('n1') !== to.startsWith('n1')
   fleet.fleet.runFor(3_000)
-  fleet.control.propose(id('n1-c'), envelope('w1', { kind: 'withdraw-key', digest: keyOf('w') }))
+  fleet.control.propose(id('n1-c'), envelope('w1', { kind: 'withdraw-key', digest: keyDigestOf('w') }))
   fleet.fleet.runFor(2_000)
   t.matchSnapshot({ inside: ask(fleet, everyHost.slice(0, 4)), outside: ask(fleet, everyHost.slice(4)) }, 'while the zone is cut')
   // Long enough that each side has buried the other.
   fleet.fleet.runFor(60_000)
   t.equal(fleet.entry.tables('n1-1').members.get(id('m1-1'))?.member.state, 'dead')
-  fleet.fleet.network.isCut = () => false
+  fleet.fleet.network.isPartitioned = () => false
   fleet.fleet.runFor(20_000)
   t.matchSnapshot(ask(fleet, everyHost), 'after the cut has healed')
-  t.equal(fleet.control.tables(fleet.leader()).configuration.keys.get(keyOf('w'))?.state, 'withdrawn', 'the log has made it durable')
+  t.equal(fleet.control.tables(fleet.leader()).configuration.keys.get(keyDigestOf('w'))?.state, 'withdrawn', 'the log has made it durable')
 })
 
 t.test('a restarted host serves no keyed request before a peer has vouched for its copy', async t => {
   const fleet = start(3)
   const before = takeSnapshot(fleet.entry.tables('n1-1').configuration)
-  fleet.run({ kind: 'withdraw-key', digest: keyOf('w') })
+  fleet.run({ kind: 'withdraw-key', digest: keyDigestOf('w') })
   const place = places[5]
   if (place === undefined) throw new Error('no place')
   const node = fleet.fleet.nodes.get(id(place.host))
   if (node !== undefined) node.isDown = true
-  fleet.fleet.network.isCut = (from, to) => from === place.host || to === place.host
-  fleet.entry.start(place, false)
+  fleet.fleet.network.isPartitioned = (from, to) => from === place.host || to === place.host
+  fleet.entry.startHost(place, false)
   const alone = ask(fleet, [place.host])
   // A copy that nobody vouches for is no better than none: the key in it was withdrawn since.
   const tables = fleet.entry.tables(place.host)
   installSnapshot(tables.configuration, { ...before, index: 1 })
   const unvouched = ask(fleet, [place.host])
   tables.configuration.index = 0
-  fleet.fleet.network.isCut = () => false
+  fleet.fleet.network.isPartitioned = () => false
   fleet.fleet.runFor(10_000)
   t.matchSnapshot({ alone, unvouched, caughtUp: ask(fleet, [place.host]) })
 })
 
 t.test('a zone that is cut off follows its profile: serve or refuse', async t => {
   for (const whenCutOff of ['serve', 'refuse'] as const) {
-    const fleet = start(4, { ...ordinaryTerms, whenCutOff, staleAfterMs: 5_000 })
-    fleet.fleet.network.isCut = (from, to) => from.startsWith('n2') !== to.startsWith('n2')
+    const fleet = start(4, { ...defaultTerms, whenCutOff, staleAfterMs: 5_000 })
+    fleet.fleet.network.isPartitioned = (from, to) => from.startsWith('n2') !== to.startsWith('n2')
     fleet.fleet.runFor(10_000)
     t.matchSnapshot(ask(fleet, everyHost.filter(host => host.startsWith('n2'))), `${whenCutOff}: inside the cut zone`)
     t.same(ask(fleet, everyHost.filter(host => host.startsWith('m'))), { served: 8 }, `${whenCutOff}: outside`)
@@ -186,9 +186,9 @@
   const silent = fleet.entry.servers.get('server-m2')
   if (leaving === undefined || silent === undefined) throw new Error('no server')
   const from = fleet.fleet.now
-  fleet.entry.sendEvenly('w', 'lookup', 200, from + 10, from + 8_000, (_now, n) => everyHost[n % everyHost.length] ?? '')
+  fleet.entry.sendAtRate('w', 'lookup', 200, from + 10, from + 8_000, (_now, n) => everyHost[n % everyHost.length] ?? '')
   fleet.fleet.runFor(1_000)
-  fleet.entry.leave('server-n1')
+  fleet.entry.startDrain('server-n1')
   silent.isDown = true
   const leftAt = fleet.fleet.now
   fleet.fleet.runFor(10_000)
--- a/src/idempotency/atMostOnce.spec.ts
+++ b/src/idempotency/atMostOnce.spec.ts
@@ -4,22 +4,22 @@
 import type { HostId } from '../core/id.js'
 import { defaultPolicies } from '../entry/entryWorld.js'
 import { doubledRuns } from '../invariants/runInvariant.js'
-import { ConfigurationBuilder, ordinaryTerms } from '../stand-ins/configurationBuilder.js'
+import { ConfigurationBuilder, defaultTerms } from '../stand-ins/configurationBuilder.js'
 import { VirtualEntry } from '../stand-ins/virtualEntry.js'
-import { delayBetween, placesOver } from '../stand-ins/virtualPlaces.js'
+import { delayByRegion, createLocations } from '../stand-ins/virtualTopology.js'
 import type { VirtualOutcome } from '../stand-ins/virtualEntry.js'
 import { VirtualFleet } from '../stand-ins/virtualFleet.js'
 import { NoRecords, RendezvousRecords } from './recordHomes.js'
 import type { RecordPlacement } from './recordHomes.js'
 import { RECORD_RETENTION } from './recordKeeping.js'
 
-const places = placesOver(['n', 'm', 's'], 2, 4)
+const places = createLocations(['n', 'm', 's'], 2, 4)
 const ZONES = ['n1', 'n2', 'm1', 'm2', 's1', 's2']
 
 const build = (seed: number, placement: () => RecordPlacement, warmUp = RECORD_RETENTION + 5_000): { fleet: VirtualFleet, entry: VirtualEntry } => {
   const fleet = new VirtualFleet(seed)
-  fleet.network.delay = delayBetween(27)
-  const builder = new ConfigurationBuilder().profile(ordinaryTerms).service('deposit').hosts(places).workspace('w', 1_000, 500)
+  fleet.network.delay = delayByRegion(27)
+  const builder = new ConfigurationBuilder().profile(defaultTerms).service('deposit').hosts(places).workspace('w', 1_000, 500)
   const entry = new VirtualEntry(fleet, places, builder.snapshot(), () => ({ ...defaultPolicies(), records: placement() }))
   for (const zone of ZONES) entry.addServer('deposit', `server-${zone}`, zone, 6, 10)
   fleet.runFor(warmUp)
@@ -91,7 +91,7 @@
   for (const place of places.filter(row => row.zone === 'n1')) {
     const node = fleet.nodes.get(toId<HostId>(place.host))
     if (node !== undefined) node.isDown = true
-    entry.start(place)
+    entry.startHost(place)
   }
   fleet.runFor(6_000)
   deposit(entry, 'm1-1', ticket('n1', 1), 'a', 7_000)
@@ -137,7 +137,7 @@
     const { fleet, entry } = build(seed, () => new RendezvousRecords(), 20_000)
     Object.assign(fleet.network, network)
     const cut = new Set<string>()
-    fleet.network.isCut = (from, to) => cut.has(from) !== cut.has(to)
+    fleet.network.isPartitioned = (from, to) => cut.has(from) !== cut.has(to)
     const bornAt = fleet.now
     for (let n = 0; n < 60; n += 1) {
       const key = n % 2 === 0 ? ticket(ZONES[n % 6] ?? 'n1', n) : `plain-${n}`
@@ -153,14 +153,14 @@
       if (place === undefined || node === undefined) continue
       if (step.kind === 'restart') {
         node.isDown = true
-        entry.start(place)
+        entry.startHost(place)
       } else if (step.kind === 'cut') cut.add(place.host)
       else if (step.kind === 'heal') cut.delete(place.host)
       else if (step.kind === 'freeze' || step.kind === 'thaw') node.isFrozen = step.kind === 'freeze'
       else {
         const server = entry.servers.get(`server-${place.zone}`)
         if (server === undefined) continue
-        server.script = step.kind === 'crash-server' ? () => ({ afterMs: 5, result: { kind: 'lost', reason: 'ECONNRESET' } }) : null
+        server.scriptAttempt = step.kind === 'crash-server' ? () => ({ afterMs: 5, result: { kind: 'lost', reason: 'ECONNRESET' } }) : null
       }
       fleet.runFor(step.pause)
     }
--- a/src/lookup/locate.spec.ts
+++ b/src/lookup/locate.spec.ts
@@ -1,7 +1,7 @@
 import t from 'tap'
 import { toId } from '../core/id.js'
 import { SeededRandom } from '../core/random.js'
-import { ConfigurationBuilder, ordinaryTerms } from '../stand-ins/configurationBuilder.js'
+import { ConfigurationBuilder, defaultTerms } from '../stand-ins/configurationBuilder.js'
 import { VirtualEntry } from '../stand-ins/virtualEntry.js'
 import { VirtualFleet } from '../stand-ins/virtualFleet.js'
 import { answerLookup } from './lookupSystem.js'
@@ -14,7 +14,7 @@
 
 t.test('callers of zones with many and with few entry hosts load all hosts of a region about alike', async t => {
   const fleet = new VirtualFleet(3)
-  const entry = new VirtualEntry(fleet, places, new ConfigurationBuilder().profile(ordinaryTerms).service('s').hosts(places).snapshot())
+  const entry = new VirtualEntry(fleet, places, new ConfigurationBuilder().profile(defaultTerms).service('s').hosts(places).snapshot())
   fleet.runFor(6_000)
   const random = new SeededRandom(8)
   const load = new Map<string, number>()
--- a/src/observability/tracing.spec.ts
+++ b/src/observability/tracing.spec.ts
@@ -4,8 +4,8 @@
 import { request } from 'undici'
 import { digestKey } from '../key-check/keyCheck.js'
 import { startLocalEntry } from '../stand-ins/localEntry.js'
-import { ConfigurationBuilder, ordinaryTerms } from '../stand-ins/configurationBuilder.js'
-import { placesOver } from '../stand-ins/virtualPlaces.js'
+import { ConfigurationBuilder, defaultTerms } from '../stand-ins/configurationBuilder.js'
+import { createLocations } from '../stand-ins/virtualTopology.js'
 import { Tracing } from './tracing.js'
 
 interface Exported { readonly name: string, readonly traceId: string, readonly spanId: string, readonly parentSpanId?: string }
@@ -39,7 +39,7 @@
   })
   const collectorPort = await listen(collector)
   const backendPort = await listen(backend)
-  const snapshot = new ConfigurationBuilder().profile(ordinaryTerms).service('coupons').hosts(placesOver(['n'], 1, 1)).workspace('w', 1_000, 1_000)
+  const snapshot = new ConfigurationBuilder().profile(defaultTerms).service('coupons').hosts(createLocations(['n'], 1, 1)).workspace('w', 1_000, 1_000)
     .run({ kind: 'give-key', digest: digestKey(KEY), workspace: 'w' as never }).snapshot()
   const tracing = new Tracing(`http://127.0.0.1:${collectorPort}/v1/traces`, 1, 'n1-1')
   const entry = await startLocalEntry({ snapshot, tracing })
--- a/src/plan/plan.spec.ts
+++ b/src/plan/plan.spec.ts
@@ -6,7 +6,7 @@
 import type { Command } from '../configuration/types.js'
 import { drawPart, findBounds, findDestination } from '../exchange/destination.js'
 import type { RequestReceived } from '../exchange/types.js'
-import { ordinaryTerms } from '../stand-ins/configurationBuilder.js'
+import { defaultTerms } from '../stand-ins/configurationBuilder.js'
 import { checkPlan } from './planCheck.js'
 import { changeWithoutDocument, withoutDocument } from './planDocument.js'
 import { RouteTable } from './routeTable.js'
@@ -18,7 +18,7 @@
 
 const plan = (version: number, changes: Partial<Plan> = {}): Plan => ({
   version,
-  terms: ordinaryTerms,
+  terms: defaultTerms,
   routes: [route('r', '/a/')],
   services: [{ service: toId('s'), healthPath: '/health', connections: 10, warmup: { coldMs: 1_000, ratePerS: 5 } }],
   workspaces: [{ workspace: toId('w'), keys: [toId('digest-1'), toId('digest-2')], rank: 2, rate: 10, burst: 20, allowedRegions: [] }],
--- a/src/replay/replay.spec.ts
+++ b/src/replay/replay.spec.ts
@@ -7,8 +7,8 @@
 import { createEntryWorld, namedPolicies } from '../entry/entryWorld.js'
 import type { EntryInput } from '../entry/types.js'
 import { BlockTable } from '../lookup/blockTable.js'
-import { ConfigurationBuilder, keyOf, ordinaryTerms } from '../stand-ins/configurationBuilder.js'
-import { placesOver } from '../stand-ins/virtualPlaces.js'
+import { ConfigurationBuilder, keyDigestOf, defaultTerms } from '../stand-ins/configurationBuilder.js'
+import { createLocations } from '../stand-ins/virtualTopology.js'
 import { openRecorder } from '../journal/recorder.js'
 import { loadExpectations, replayTrace, unmetExpectations } from './replayTrace.js'
 import type { TraceStart } from './replayTrace.js'
@@ -21,10 +21,10 @@
   policies: { allowance: 'lending', choice: 'two-choices', queue: 'max-min', records: 'rendezvous', suspicion: 'shared', shift: 'capped' }
 }
 
-const snapshot = new ConfigurationBuilder().profile(ordinaryTerms).service('lookup').hosts(placesOver(['n'], 1, 1)).workspace('w', 100, 50).snapshot()
+const snapshot = new ConfigurationBuilder().profile(defaultTerms).service('lookup').hosts(createLocations(['n'], 1, 1)).workspace('w', 100, 50).snapshot()
 
 const request = (number: number): EntryInput => ({
-  kind: 'request', exchange: toId(`x${number}`), target: { kind: 'service', service: toId('lookup') }, affinity: null, method: 'GET', path: '/', key: keyOf('w'), timeoutMs: null, fingerprint: `f${number}`, replayable: true, idempotencyKey: null, ticketAgeMs: null
+  kind: 'request', exchange: toId(`x${number}`), target: { kind: 'service', service: toId('lookup') }, affinity: null, method: 'GET', path: '/', key: keyDigestOf('w'), timeoutMs: null, fingerprint: `f${number}`, replayable: true, idempotencyKey: null, ticketAgeMs: null
 })
 
 const other = toId<typeof start.self.host>('n1-2')
@@ -36,7 +36,7 @@
   [20, [{ kind: 'message', from: other, message: { kind: 'snapshot', snapshot } }, { kind: 'message', from: other, message: { kind: 'rumors', rumors: [{ topic: 'vouch', vouch: { index: snapshot.index, term: 1, sequence: 1, ageMs: 0 } }] } }]],
   [500, [{ kind: 'announcement', announcement: { service: toId('lookup'), backend: toId('b'), region: toId('n'), zone: toId('n1'), target: { address: '127.0.0.1', port: 9 }, slots: 4, epoch: 1, sequence: 1, state: 'up', coldMs: 0 } }]],
   [900, [request(2), request(3)]],
-  [910, [{ kind: 'message', from: other, message: { kind: 'rumors', rumors: [{ topic: 'withdrawal', digest: keyOf('w') }] } }]],
+  [910, [{ kind: 'message', from: other, message: { kind: 'rumors', rumors: [{ topic: 'withdrawal', digest: keyDigestOf('w') }] } }]],
   [920, [request(4), request(5)]]
 ]
 
--- a/src/replicated-log/automaticGroup.spec.ts
+++ b/src/replicated-log/automaticGroup.spec.ts
@@ -40,11 +40,11 @@
     fleet.runFor(9_000)
     const leader = leaderOf(control)
     const call = control.propose(leader, evacuate('z'))
-    while (!control.answers.has(call)) fleet.runFor(1)
-    t.equal(control.answers.get(call)?.error, null)
+    while (!control.proposalAnswers.has(call)) fleet.runFor(1)
+    t.equal(control.proposalAnswers.get(call)?.error, null)
     for (const name of control.hosts) control.kill(name)
     const wiped = [leader, ...control.hosts.filter(name => name !== leader)].slice(0, 2)
-    for (const name of wiped) control.loseDisk(name)
+    for (const name of wiped) control.wipeDisk(name)
     fleet.runFor(1_000)
     for (const name of control.hosts) control.start(name)
     fleet.runFor(12_000)
@@ -75,11 +75,11 @@
   const atLeader = control.read(leader)
   const atFollower = control.read(follower)
   fleet.runFor(1_000)
-  fleet.network.isCut = (a, b) => a === leader || b === leader
+  fleet.network.isPartitioned = (a, b) => a === leader || b === leader
   const whenCut = control.read(leader)
   fleet.runFor(5_000)
   t.matchSnapshot([atLeader, atFollower, whenCut].map(call => {
-    const error = control.reads.get(call)?.error
+    const error = control.readAnswers.get(call)?.error
     return error === null ? 'vouched' : error?.kind ?? 'no answer'
   }))
 })
@@ -112,7 +112,7 @@
     fleet.runFor(1_000)
     const startOf = new Map(control.hosts.map((name, place) => [name, fleet.now + (STARTS_MS[place] ?? 0)]))
     const upAt = (name: HostId): number => (startOf.get(name) ?? 0) + DIAL_MS
-    fleet.network.isCut = (from, to) => fleet.now < Math.max(upAt(from), upAt(to))
+    fleet.network.isPartitioned = (from, to) => fleet.now < Math.max(upAt(from), upAt(to))
     for (const [name, at] of startOf) fleet.schedule(at - fleet.now, () => { control.start(name) })
     const lastAt = Math.max(...startOf.values()) + DIAL_MS
     fleet.runUntil(lastAt)
--- a/src/replicated-log/logProtocol.spec.ts
+++ b/src/replicated-log/logProtocol.spec.ts
@@ -35,7 +35,7 @@
 
 const describe = (control: VirtualControl, calls: readonly CallId[]): unknown => ({
   answers: calls.map(call => {
-    const answer = control.answers.get(call)
+    const answer = control.proposalAnswers.get(call)
     return answer === undefined ? 'no answer' : answer.error?.kind ?? `version ${answer.receipt?.version ?? -1}`
   }),
   workspaces: control.hosts.map(name => [...control.tables(name).configuration.workspaces.rows()].map(row => `${row.workspace}@${row.version}`))
@@ -120,7 +120,7 @@
     const leader = onlyLeader(control)
     const call = control.propose(leader, putWorkspace('ann', 'r1', 'w', 0))
     fleet.runFor(killAt)
-    const isAccepted = control.answers.get(call)?.receipt?.version === 1
+    const isAccepted = control.proposalAnswers.get(call)?.receipt?.version === 1
     for (const name of control.hosts) control.kill(name)
     for (const name of control.hosts) control.start(name)
     fleet.runFor(6_000)
@@ -128,8 +128,8 @@
     fleet.runFor(1_000)
     const workspaces = control.tables(onlyLeader(control)).configuration.workspaces
     if (workspaces.get(toId<WorkspaceId>('w'))?.version !== 1) missing.push(`killed after ${killAt} ms: not there`)
-    const first = control.answers.get(call)?.receipt?.index
-    if (isAccepted && control.answers.get(again)?.receipt?.index !== first) missing.push(`killed after ${killAt} ms: accepted, then applied again`)
+    const first = control.proposalAnswers.get(call)?.receipt?.index
+    if (isAccepted && control.proposalAnswers.get(again)?.receipt?.index !== first) missing.push(`killed after ${killAt} ms: accepted, then applied again`)
   }
   t.same(missing, [])
 })
@@ -139,7 +139,7 @@
   fleet.runFor(4_000)
   const leader = onlyLeader(control)
   const cut = control.hosts.find(name => name !== leader) ?? leader
-  fleet.network.isCut = (from, to) => from === cut || to === cut
+  fleet.network.isPartitioned = (from, to) => from === cut || to === cut
   const calls: CallId[] = []
   for (let n = 0; n < 300; n += 1) {
     calls.push(control.propose(leader, putWorkspace('ann', `r${n}`, `w${n}`, 0)))
@@ -148,11 +148,11 @@
   const termBefore = control.tables(leader).replica.term
   const staleCall = control.propose(cut, putWorkspace('eve', 'r1', 'x', 0))
   fleet.runFor(100)
-  fleet.network.isCut = () => false
+  fleet.network.isPartitioned = () => false
   fleet.runFor(5_000)
   t.same(control.leaders(), [leader])
   t.equal(control.tables(leader).replica.term, termBefore, 'the term did not move')
-  t.equal(control.answers.get(staleCall)?.error?.kind, 'not-leader')
+  t.equal(control.proposalAnswers.get(staleCall)?.error?.kind, 'not-leader')
   t.equal(control.tables(cut).configuration.workspaces.size, 300, 'it has caught up')
 })
 
@@ -180,7 +180,7 @@
   const call = control.propose(leader, putWorkspace('ann', 'r1', 'w', 0))
   fleet.runFor(500)
   control.kill(lost)
-  control.loseDisk(lost)
+  control.wipeDisk(lost)
   control.start(lost)
   fleet.runFor(4_000)
   const voterBefore = control.tables(leader).replica.group.voters.find(row => row.host === lost)?.replica
@@ -194,7 +194,7 @@
   const next = onlyLeader(control)
   const after = control.propose(next, putWorkspace('bob', 'r2', 'w', 1))
   fleet.runFor(1_000)
-  t.equal(control.answers.get(after)?.receipt?.version, 2, 'the change that was accepted before the repair is still there')
+  t.equal(control.proposalAnswers.get(after)?.receipt?.version, 2, 'the change that was accepted before the repair is still there')
   t.matchSnapshot(describe(control, [call, admitted, after]))
 })
 
@@ -205,15 +205,15 @@
   const [second, third] = control.hosts.filter(name => name !== leader)
   if (second === undefined || third === undefined) throw new Error('three hosts')
   // The third misses the change; the other two accept it.
-  fleet.network.isCut = (from, to) => from === third || to === third
+  fleet.network.isPartitioned = (from, to) => from === third || to === third
   const call = control.propose(leader, putWorkspace('ann', 'r1', 'w', 0))
   fleet.runFor(500)
-  t.equal(control.answers.get(call)?.receipt?.version, 1)
+  t.equal(control.proposalAnswers.get(call)?.receipt?.version, 1)
   control.kill(leader)
   control.kill(second)
-  control.loseDisk(second)
+  control.wipeDisk(second)
   control.start(second)
-  fleet.network.isCut = () => false
+  fleet.network.isPartitioned = () => false
   fleet.runFor(20_000)
   t.same(control.leaders(), [], 'the stale third and the empty second elect nobody')
   control.start(leader)
@@ -255,7 +255,7 @@
   const accepted: CallId[] = []
   const pendingCalls = new Map<CallId, string>()
   const cut = new Set<HostId>()
-  fleet.network.isCut = (from, to) => cut.has(from) !== cut.has(to)
+  fleet.network.isPartitioned = (from, to) => cut.has(from) !== cut.has(to)
   const advance = (duration: number): void => {
     for (let left = duration; left > 0; left -= 10) {
       fleet.runFor(Math.min(10, left))
@@ -294,9 +294,9 @@
   if (leader === undefined || control.leaders().length !== 1) return [...watch.problems, `${control.leaders().length} leaders after the repair`]
   const final = control.propose(leader, putWorkspace('last', 'last', 'final', 0))
   advance(1_500)
-  if (control.answers.get(final)?.receipt === null) watch.problems.push('nothing commits after the repair')
+  if (control.proposalAnswers.get(final)?.receipt === null) watch.problems.push('nothing commits after the repair')
   for (const [call, workspace] of pendingCalls) {
-    const receipt = control.answers.get(call)?.receipt
+    const receipt = control.proposalAnswers.get(call)?.receipt
     if (receipt === undefined || receipt === null) continue
     accepted.push(call)
     const key = `${workspace}@${receipt.version}`
--- a/src/shift/shift.spec.ts
+++ b/src/shift/shift.spec.ts
@@ -1,21 +1,21 @@
 import t from 'tap'
 import { defaultPolicies } from '../entry/entryWorld.js'
-import { ConfigurationBuilder, ordinaryTerms } from '../stand-ins/configurationBuilder.js'
+import { ConfigurationBuilder, defaultTerms } from '../stand-ins/configurationBuilder.js'
 import { VirtualEntry } from '../stand-ins/virtualEntry.js'
-import { delayBetween, placesOver } from '../stand-ins/virtualPlaces.js'
+import { delayByRegion, createLocations } from '../stand-ins/virtualTopology.js'
 import { VirtualFleet } from '../stand-ins/virtualFleet.js'
 import { shiftOverCap } from '../invariants/shiftInvariant.js'
 import { CappedShift, UncappedShift } from './shiftPolicy.js'
 import type { ShiftPolicy } from './shiftPolicy.js'
 
-const places = placesOver(['n', 'm', 's'], 2, 4)
+const places = createLocations(['n', 'm', 's'], 2, 4)
 const WINDOW = 5_000
 const CAP = 0.2
 
 const build = (seed: number, policy: () => ShiftPolicy, warmUp = 10_000): { fleet: VirtualFleet, entry: VirtualEntry } => {
   const fleet = new VirtualFleet(seed)
-  fleet.network.delay = delayBetween(27)
-  const builder = new ConfigurationBuilder().profile({ ...ordinaryTerms, shiftCap: CAP, shiftWindowMs: WINDOW }).service('lookup', 2_000).hosts(places).workspace('w', 10_000, 10_000)
+  fleet.network.delay = delayByRegion(27)
+  const builder = new ConfigurationBuilder().profile({ ...defaultTerms, shiftCap: CAP, shiftWindowMs: WINDOW }).service('lookup', 2_000).hosts(places).workspace('w', 10_000, 10_000)
   const entry = new VirtualEntry(fleet, places, builder.snapshot(), () => ({ ...defaultPolicies(), shift: policy() }))
   for (const zone of ['n1', 'n2', 'm1', 'm2', 's1', 's2']) {
     for (let copy = 0; copy < 3; copy += 1) entry.addServer('lookup', `server-${zone}-${copy}`, zone, 5, 20)
@@ -55,7 +55,7 @@
   for (const [name, policy] of [['capped', () => new CappedShift()], ['uncapped', () => new UncappedShift()]] as const) {
     const { fleet, entry } = build(1, policy)
     const start = Math.ceil(fleet.now / WINDOW) * WINDOW
-    entry.sendEvenly('w', 'lookup', 240, start, start + 14 * WINDOW, (_now, n) => places[n % places.length]?.host ?? '')
+    entry.sendAtRate('w', 'lookup', 240, start, start + 14 * WINDOW, (_now, n) => places[n % places.length]?.host ?? '')
     fleet.runUntil(start + WINDOW)
     loseRegion(entry, true)
     fleet.runUntil(start + 8 * WINDOW)
@@ -74,7 +74,7 @@
     if (name.startsWith('server-n')) server.workMs = 400
   }
   const start = Math.ceil(fleet.now / WINDOW) * WINDOW
-  entry.sendEvenly('w', 'lookup', 200, start, start + 2 * WINDOW, (_now, n) => places[n % 8]?.host ?? '')
+  entry.sendAtRate('w', 'lookup', 200, start, start + 2 * WINDOW, (_now, n) => places[n % 8]?.host ?? '')
   fleet.runFor(4 * WINDOW)
   t.ok(entry.placements.some(row => row.isAway), 'some requests spill over')
   t.equal(overCap(entry, start, 'n'), 0)
@@ -84,7 +84,7 @@
   const { fleet, entry } = build(3, () => new CappedShift())
   loseRegion(entry, true)
   const start = Math.ceil(fleet.now / WINDOW) * WINDOW
-  entry.sendEvenly('w', 'lookup', 900, start, start + 3 * WINDOW, (_now, n) => places[n % places.length]?.host ?? '')
+  entry.sendAtRate('w', 'lookup', 900, start, start + 3 * WINDOW, (_now, n) => places[n % places.length]?.host ?? '')
   let worst = 0
   for (let at = start; at < start + 3 * WINDOW; at += 100) {
     fleet.runUntil(at)
@@ -93,7 +93,7 @@
       let slots = 0
       for (const [name, server] of entry.servers) {
         if (!name.startsWith(`server-${region}`)) continue
-        running += server.open.size
+        running += server.runningAttempts.size
         slots += server.announcement.slots
       }
       worst = Math.max(worst, running / slots)
@@ -102,8 +102,8 @@
   let shed = 0
   let started = 0
   for (const server of entry.servers.values()) {
-    shed += server.shed
-    started += server.started
+    shed += server.shedCount
+    started += server.startedCount
   }
   t.ok(worst <= 1, `busiest moment ${worst} of the slots`)
   t.comment(`${shed} sheds beside ${started} runs`)
--- a/src/stand-ins/deskLoad.ts
+++ b/src/stand-ins/bookingLoad.ts
@@ -8,9 +8,9 @@
 import { RankedMaxMinQueue } from '../exchange/queuePolicy.js'
 import type { Plan } from '../plan/types.js'
 import { SharedRetries } from '../retry-budget/retryBudget.js'
-import { ConfigurationBuilder, ordinaryTerms } from './configurationBuilder.js'
+import { ConfigurationBuilder, defaultTerms } from './configurationBuilder.js'
 import { VirtualEntry } from './virtualEntry.js'
-import { delayBetween, placesOver } from './virtualPlaces.js'
+import { delayByRegion, createLocations } from './virtualTopology.js'
 import type { VirtualServer } from './virtualServer.js'
 import { VirtualFleet } from './virtualFleet.js'
 
@@ -54,7 +54,7 @@
 
 const plan: Plan = {
   version: 1,
-  terms: { ...ordinaryTerms, shiftCap: 0.15, shiftWindowMs: 2_000 },
+  terms: { ...defaultTerms, shiftCap: 0.15, shiftWindowMs: 2_000 },
   routes: KINDS.map(kind => ({ route: toId(kind.name), authority: AUTHORITY, prefix: `/${kind.name}/`, repetition: 'idempotent', timeoutMs: kind.timeoutMs, targetMs: kind.targetMs, rank: kind.rank, split: [{ service: toId(kind.service), weight: 1 }], attempts: 2, isOpen: true, hasAffinity: true, allowedRegions: [] })),
   services: POOLS.map(pool => ({ service: toId(pool.service), healthPath: '/health', connections: 800, warmup: { coldMs: 0, ratePerS: 100 } })),
   workspaces: [],
@@ -62,18 +62,18 @@
 }
 
 /** How a load is played. */
-export interface DeskPlay {
+export interface BookingLoadOptions {
   /** Times the ordinary rate. */
   readonly load: number
   readonly warmUpMs: Millis
   readonly measuredMs: Millis
   readonly policies?: Partial<EntryPolicies>
   /** What happens to the servers when the measured time begins. */
-  readonly trouble?: (servers: readonly VirtualServer[]) => void
+  readonly injectFaults?: (servers: readonly VirtualServer[]) => void
 }
 
 /** Worth earned of the worth asked for, 0 to 1. */
-export interface DeskOutcome {
+export interface BookingLoadResult {
   readonly all: number
   readonly worstRegion: number
   readonly byKind: Readonly<Record<string, number>>
@@ -100,10 +100,10 @@
   1 + WAVE_SWING * Math.sin(2 * Math.PI * (now / WAVE_MS + WAVE_PHASE + REGIONS.indexOf(region) / REGIONS.length))
 
 /** Plays the load under the virtual clock. */
-export const playDesk = ({ load, warmUpMs, measuredMs, policies, trouble }: DeskPlay): DeskOutcome => {
+export const runBookingLoad = ({ load, warmUpMs, measuredMs, policies, injectFaults: trouble }: BookingLoadOptions): BookingLoadResult => {
   const fleet = new VirtualFleet(9)
-  fleet.network.delay = delayBetween(REGION_MS)
-  const places = placesOver(REGIONS, 2, 4)
+  fleet.network.delay = delayByRegion(REGION_MS)
+  const places = createLocations(REGIONS, 2, 4)
   const entry = new VirtualEntry(fleet, places, new ConfigurationBuilder().run({ kind: 'put-plan', plan }).snapshot(), () => ({ ...defaultPolicies(), queue: new RankedMaxMinQueue(), retries: new SharedRetries({ ratio: 0.14, slack: 90 }), choice: new ExpectedLatency(), ...policies }))
   const servers = addServers(entry)
   fleet.runFor(8_000)
@@ -130,7 +130,7 @@
   return summarize(entry, kindOf, start + warmUpMs)
 }
 
-const summarize = (entry: VirtualEntry, kindOf: ReadonlyMap<string, Kind>, from: Millis): DeskOutcome => {
+const summarize = (entry: VirtualEntry, kindOf: ReadonlyMap<string, Kind>, from: Millis): BookingLoadResult => {
   const owed: Record<string, number> = {}
   const earned: Record<string, number> = {}
   const reasons: Record<string, number> = {}
--- a/src/stand-ins/configurationBuilder.ts
+++ b/src/stand-ins/configurationBuilder.ts
@@ -8,13 +8,13 @@
 import { ALLOWANCE_PARTS } from '../configuration/types.js'
 import type { ProfileTerms } from '../plan/types.js'
 import type { Command, ConfigurationSnapshot } from '../configuration/types.js'
-import type { VirtualPlace } from './virtualPlaces.js'
+import type { HostLocation } from './virtualTopology.js'
 
 /** The digest under which a test's workspace has its key. */
-export const keyOf = (workspace: string): KeyDigest => toId<KeyDigest>(`key-${workspace}`)
+export const keyDigestOf = (workspace: string): KeyDigest => toId<KeyDigest>(`key-${workspace}`)
 
 /** Ordinary terms of a profile for tests and the bench. */
-export const ordinaryTerms: ProfileTerms = { shiftCap: 0.2, shiftWindowMs: 60_000, allowedRegions: [], drainMs: 10_000, whenCutOff: 'serve', staleAfterMs: 5_000 }
+export const defaultTerms: ProfileTerms = { shiftCap: 0.2, shiftWindowMs: 60_000, allowedRegions: [], drainMs: 10_000, whenCutOff: 'serve', staleAfterMs: 5_000 }
 
 /** Builds a configuration by applying commands as operators would give them. */
 export class ConfigurationBuilder {
@@ -44,10 +44,10 @@
   /** A workspace whose key's digest is its own name. */
   workspace (workspace: string, rate: number, burst: number, weight = 1): this {
     return this.run({ kind: 'put-workspace', workspace: toId(workspace), expectedVersion: 0, rate, burst, weight })
-      .run({ kind: 'give-key', digest: keyOf(workspace), workspace: toId(workspace) })
+      .run({ kind: 'give-key', digest: keyDigestOf(workspace), workspace: toId(workspace) })
   }
 
-  hosts (places: readonly VirtualPlace[]): this {
+  hosts (places: readonly HostLocation[]): this {
     const parts = Math.floor(ALLOWANCE_PARTS / places.length)
     for (const place of places) {
       this.run({ kind: 'register-host', entryHost: { host: toId(place.host), region: toId(place.region), zone: toId(place.zone), site: toId(place.zone), parts } })
--- a/src/stand-ins/virtualControl.ts
+++ b/src/stand-ins/virtualControl.ts
@@ -18,10 +18,10 @@
   replica: ReplicaId
   records: DiskRecord[]
   /** Rows that wait for a sync, in order. */
-  waiting: LogMessageSent[]
+  heldMessages: LogMessageSent[]
   unsynced: DiskRecord[]
   /** Raised with each start, so that a sync of an earlier life changes nothing. */
-  life: number
+  generation: number
 }
 
 /** How the control hosts of a fleet begin. */
@@ -48,8 +48,8 @@
   /** Time that a sync takes, in milliseconds. */
   syncMs = 2
   readonly disks = new Map<HostId, VirtualDisk>()
-  readonly answers = new Map<CallId, ProposalAnswered>()
-  readonly reads = new Map<CallId, ReadAnswered>()
+  readonly proposalAnswers = new Map<CallId, ProposalAnswered>()
+  readonly readAnswers = new Map<CallId, ReadAnswered>()
   readonly hosts: readonly HostId[]
   readonly #founders: readonly Replica[]
   #calls = 0
@@ -62,7 +62,7 @@
     this.#founders = founding.map(host => ({ replica: toId<ReplicaId>(`${host}#0`), host, link: { address: host, port: 1 } }))
     const group: Group = { voters: this.#founders, learners: [] }
     for (const { host, replica } of this.#founders) {
-      this.disks.set(host, { replica, records: [{ kind: 'entries', entries: foundingImage(replica, group).entries }], waiting: [], unsynced: [], life: 0 })
+      this.disks.set(host, { replica, records: [{ kind: 'entries', entries: foundingImage(replica, group).entries }], heldMessages: [], unsynced: [], generation: 0 })
       this.start(host)
     }
     for (const host of this.hosts.slice(founding.length)) this.join(host)
@@ -70,15 +70,15 @@
 
   /** Starts a host on an empty disk. */
   join (host: HostId): void {
-    this.disks.set(host, { replica: toId<ReplicaId>(`${host}#${this.fleet.random.below(1 << 30)}`), records: [], waiting: [], unsynced: [], life: 0 })
+    this.disks.set(host, { replica: toId<ReplicaId>(`${host}#${this.fleet.random.below(1 << 30)}`), records: [], heldMessages: [], unsynced: [], generation: 0 })
     this.start(host)
   }
 
   /** Starts a host on what its disk holds. */
   start (host: HostId): void {
     const disk = this.#disk(host)
-    disk.life += 1
-    disk.waiting = []
+    disk.generation += 1
+    disk.heldMessages = []
     disk.unsynced = []
     this.#lives += 1
     const seeds = this.#founders.filter(founder => founder.host !== host).map(founder => ({ host: founder.host, link: founder.link }))
@@ -97,11 +97,11 @@
   kill (host: HostId): void {
     const node = this.fleet.nodes.get(host)
     if (node !== undefined) node.isDown = true
-    this.#disk(host).life += 1
+    this.#disk(host).generation += 1
   }
 
   /** Loses a killed host's disk: it will start as another replica that nobody has admitted. */
-  loseDisk (host: HostId): void {
+  wipeDisk (host: HostId): void {
     const disk = this.#disk(host)
     disk.records = []
     disk.replica = toId<ReplicaId>(`${host}#${this.fleet.random.below(1 << 30)}`)
@@ -150,23 +150,23 @@
 
   #deliver (node: VirtualNode, disk: VirtualDisk, row: ControlOutput): void {
     if (row.kind === 'persist') this.#persist(node, disk, row.record, row.sequence)
-    else if (row.kind === 'proposal-answer') this.answers.set(row.call, row)
-    else if (row.kind === 'read-answer') this.reads.set(row.call, row)
-    else if (row.kind === 'send' && 'afterSync' in row && row.afterSync && disk.unsynced.length > 0) disk.waiting.push(row)
+    else if (row.kind === 'proposal-answer') this.proposalAnswers.set(row.call, row)
+    else if (row.kind === 'read-answer') this.readAnswers.set(row.call, row)
+    else if (row.kind === 'send' && 'afterSync' in row && row.afterSync && disk.unsynced.length > 0) disk.heldMessages.push(row)
     else if (row.kind === 'send') this.fleet.send(node.host, row)
   }
 
   #persist (node: VirtualNode, disk: VirtualDisk, record: DiskRecord, sequence: number): void {
     disk.unsynced.push(record)
-    const life = disk.life
+    const life = disk.generation
     this.fleet.schedule(this.syncMs, () => {
-      if (disk.life !== life) return
+      if (disk.generation !== life) return
       disk.records.push(record)
       disk.unsynced.shift()
       node.inbox.push({ kind: 'persisted', sequence })
       if (disk.unsynced.length > 0) return
-      const waiting = disk.waiting
-      disk.waiting = []
+      const waiting = disk.heldMessages
+      disk.heldMessages = []
       for (const row of waiting) this.fleet.send(node.host, row)
     })
   }
--- a/src/stand-ins/virtualEntry.ts
+++ b/src/stand-ins/virtualEntry.ts
@@ -14,10 +14,10 @@
 import { BlockTable } from '../lookup/blockTable.js'
 import type { Member, Vouch } from '../membership/types.js'
 import type { VirtualFleet, VirtualNode } from './virtualFleet.js'
-import type { VirtualPlace } from './virtualPlaces.js'
-import { loadOf, workOn } from './virtualServer.js'
-import type { VirtualServer, VirtualWork } from './virtualServer.js'
-import { keyOf } from './configurationBuilder.js'
+import type { HostLocation } from './virtualTopology.js'
+import { reportLoad, processObject } from './virtualServer.js'
+import type { VirtualServer, RequestWork } from './virtualServer.js'
+import { keyDigestOf } from './configurationBuilder.js'
 
 /** How one request ended, as its caller saw it. */
 export interface VirtualOutcome {
@@ -32,7 +32,7 @@
 }
 
 /** A request as a test sends it. */
-export interface VirtualRequest extends VirtualWork {
+export interface VirtualRequest extends RequestWork {
   /** Sends the request by the routes of this authority instead of by its service. */
   readonly authority?: string
   readonly service: string
@@ -56,22 +56,22 @@
   /** Attempts of non-idempotent requests that reached a server, by idempotency key or exchange. */
   readonly runs = new Map<string, number>()
   /** Every admission of a request of a workspace, also of those whose host was killed later. */
-  readonly grants: Array<{ readonly workspace: string, readonly admittedAt: Millis }> = []
+  readonly admissions: Array<{ readonly workspace: string, readonly admittedAt: Millis }> = []
   /** Where each attempt went, by the time at which its request was sent. */
   readonly placements: Array<{ readonly sentAt: Millis, readonly placedAt: Millis, readonly host: HostId, readonly isAway: boolean }> = []
   readonly #open = new Map<ExchangeId, { request: VirtualRequest, host: HostId, sentAt: Millis }>()
   #exchanges = 0
   #epochs = 0
 
-  constructor (readonly fleet: VirtualFleet, readonly places: readonly VirtualPlace[], public snapshot: ConfigurationSnapshot, readonly policies: () => EntryPolicies = defaultPolicies) {
-    for (const place of places) this.start(place)
+  constructor (readonly fleet: VirtualFleet, readonly locations: readonly HostLocation[], public snapshot: ConfigurationSnapshot, readonly policies: () => EntryPolicies = defaultPolicies) {
+    for (const place of locations) this.startHost(place)
   }
 
   /** Requests sent so far. */
-  get sent (): number { return this.#exchanges }
+  get sentCount (): number { return this.#exchanges }
 
   /** Starts a host, or starts it again with empty tables, already holding the configuration that a peer vouches for. */
-  start (place: VirtualPlace, loaded = true): void {
+  startHost (place: HostLocation, loaded = true): void {
     this.#epochs += 1
     const self: Member = {
       host: toId<HostId>(place.host),
@@ -85,14 +85,14 @@
       incarnation: 0,
       state: 'alive'
     }
-    const seeds = this.places.filter(other => other.host !== place.host).slice(0, 3).map(other => ({ host: toId<HostId>(other.host), link: { address: other.host, port: 1 } }))
+    const seeds = this.locations.filter(other => other.host !== place.host).slice(0, 3).map(other => ({ host: toId<HostId>(other.host), link: { address: other.host, port: 1 } }))
     const world = createEntryWorld({ self, seeds, blocks: new BlockTable([]), randomSeed: this.fleet.random.below(1 << 30), policies: this.policies(), now: this.fleet.now })
-    if (loaded) this.load(world.tables)
+    if (loaded) this.loadConfiguration(world.tables)
     this.fleet.add(self.host, world, (node, row: EntryOutput) => { this.#deliver(node, row) })
   }
 
   /** Gives a host the configuration and a vouch for it. */
-  load (tables: EntryTables): void {
+  loadConfiguration (tables: EntryTables): void {
     installSnapshot(tables.configuration, this.snapshot)
     const vouch: Vouch = { index: this.snapshot.index, term: 1, sequence: 1, ageMs: 0 }
     tables.gossip.vouch = vouch
@@ -111,17 +111,17 @@
     const announcement: Announcement = {
       service: toId<ServiceId>(service), backend: toId<BackendId>(name), region: toId<RegionId>(zone.replace(/\d+$/, '')), zone: toId<ZoneId>(zone), target: { address: name, port: 1 }, slots, epoch: 1, sequence: 0, state: 'up', coldMs: 0
     }
-    const server: VirtualServer = { announcement, workMs, isDown: false, started: 0, shed: 0, lastStartedAt: -1, open: new Map(), waiting: [], crashes: 0, script: null }
+    const server: VirtualServer = { announcement, workMs, isDown: false, startedCount: 0, shedCount: 0, lastStartedAt: -1, runningAttempts: new Map(), queuedAttempts: [], crashCount: 0, scriptAttempt: null }
     this.servers.set(name, server)
     this.#announce(server, 0)
     return server
   }
 
   /** Crashes a server: everything that runs there is lost, and its next life starts after a while. */
-  crash (server: VirtualServer, downMs: Millis): void {
-    server.crashes += 1
-    for (const { node, row } of server.open.values()) this.#report(node, row.exchange, row.attempt, 0, { kind: 'lost', reason: 'ECONNRESET' })
-    server.open.clear()
+  crashServer (server: VirtualServer, downMs: Millis): void {
+    server.crashCount += 1
+    for (const { node, row } of server.runningAttempts.values()) this.#report(node, row.exchange, row.attempt, 0, { kind: 'lost', reason: 'ECONNRESET' })
+    server.runningAttempts.clear()
     server.isDown = true
     this.fleet.schedule(downMs, () => {
       server.isDown = false
@@ -130,7 +130,7 @@
   }
 
   /** A server that begins to leave. */
-  leave (name: string): void {
+  startDrain (name: string): void {
     const server = this.servers.get(name)
     if (server !== undefined) server.announcement = { ...server.announcement, state: 'draining' }
   }
@@ -149,7 +149,7 @@
       affinity: request.affinity ?? null,
       method,
       path,
-      key: request.key === null ? null : toId<KeyDigest>(request.key ?? keyOf(request.workspace)),
+      key: request.key === null ? null : toId<KeyDigest>(request.key ?? keyDigestOf(request.workspace)),
       timeoutMs: request.timeoutMs ?? null,
       fingerprint: `${method} ${path} ${request.body ?? ''}`,
       replayable: true,
@@ -161,7 +161,7 @@
   }
 
   /** Sends requests of a workspace at an even rate to hosts that a function names. */
-  sendEvenly (workspace: WorkspaceId | string, service: string, perSecond: number, from: Millis, until: Millis, hostAt: (now: Millis, n: number) => string): void {
+  sendAtRate (workspace: WorkspaceId | string, service: string, perSecond: number, from: Millis, until: Millis, hostAt: (now: Millis, n: number) => string): void {
     const pause = 1_000 / perSecond
     let n = 0
     for (let at = from; at < until; at += pause) {
@@ -173,7 +173,7 @@
 
   #announce (server: VirtualServer, sequence: number): void {
     if (!server.isDown) {
-      for (const place of this.places) {
+      for (const place of this.locations) {
         const node = this.fleet.nodes.get(toId<HostId>(place.host))
         if (node === undefined || node.isDown || place.zone !== server.announcement.zone) continue
         node.inbox.push({ kind: 'announcement', announcement: { ...server.announcement, sequence } })
@@ -216,42 +216,42 @@
   }
 
   #attempt (node: VirtualNode, row: AttemptStarted): void {
-    if (row.workspace !== null && row.attempt.endsWith('.1')) this.grants.push({ workspace: row.workspace, admittedAt: this.fleet.now - row.queueMs })
+    if (row.workspace !== null && row.attempt.endsWith('.1')) this.admissions.push({ workspace: row.workspace, admittedAt: this.fleet.now - row.queueMs })
     const server = this.servers.get(row.target.address)
     if (server === undefined || server.isDown) {
       this.#report(node, row.exchange, row.attempt, 1, { kind: 'not-sent', reason: 'ECONNREFUSED' })
       return
     }
-    const scripted = server.script?.(row) ?? null
-    if (scripted === null && server.open.size >= server.announcement.slots && server.waiting.length < (server.queue ?? 0)) {
-      server.waiting.push(() => { this.#run(node, row, server, scripted) })
+    const scripted = server.scriptAttempt?.(row) ?? null
+    if (scripted === null && server.runningAttempts.size >= server.announcement.slots && server.queuedAttempts.length < (server.queueCapacity ?? 0)) {
+      server.queuedAttempts.push(() => { this.#run(node, row, server, scripted) })
       return
     }
-    if (scripted === null && server.open.size >= server.announcement.slots) {
-      server.shed += 1
+    if (scripted === null && server.runningAttempts.size >= server.announcement.slots) {
+      server.shedCount += 1
       this.#report(node, row.exchange, row.attempt, 1, { kind: 'head', status: 503, shed: true, load: null })
       return
     }
     this.#run(node, row, server, scripted)
   }
 
-  #run (node: VirtualNode, row: AttemptStarted, server: VirtualServer, scripted: ReturnType<NonNullable<VirtualServer['script']>>): void {
-    server.started += 1
+  #run (node: VirtualNode, row: AttemptStarted, server: VirtualServer, scripted: ReturnType<NonNullable<VirtualServer['scriptAttempt']>>): void {
+    server.startedCount += 1
     server.lastStartedAt = this.fleet.now
     this.#countRun(row)
-    const afterMs = scripted?.afterMs ?? workOn(server, this.#open.get(row.exchange)?.request)
+    const afterMs = scripted?.afterMs ?? processObject(server, this.#open.get(row.exchange)?.request)
     const isAway = server.announcement.region !== this.tables(node.host).gossip.self.region
     this.placements.push({ sentAt: this.#open.get(row.exchange)?.sentAt ?? this.fleet.now, placedAt: this.fleet.now, host: node.host, isAway })
-    server.open.set(row.attempt, { node, row })
+    server.runningAttempts.set(row.attempt, { node, row })
     this.fleet.schedule(afterMs, () => {
-      if (!server.open.has(row.attempt)) return
+      if (!server.runningAttempts.has(row.attempt)) return
       if (this.#open.get(row.exchange)?.request.path === CRASHING_PATH) {
-        this.crash(server, 1_000)
+        this.crashServer(server, 1_000)
         return
       }
-      server.open.delete(row.attempt)
-      server.waiting.shift()?.()
-      this.#report(node, row.exchange, row.attempt, 0, scripted?.result ?? { kind: 'head', status: 200, shed: false, load: loadOf(server) })
+      server.runningAttempts.delete(row.attempt)
+      server.queuedAttempts.shift()?.()
+      this.#report(node, row.exchange, row.attempt, 0, scripted?.result ?? { kind: 'head', status: 200, shed: false, load: reportLoad(server) })
     })
   }
 }
--- a/src/stand-ins/virtualFleet.ts
+++ b/src/stand-ins/virtualFleet.ts
@@ -29,7 +29,7 @@
   doubled: number
   /** Random extra delay that lets messages overtake each other. */
   jitter: Millis
-  isCut: (from: HostId, to: HostId) => boolean
+  isPartitioned: (from: HostId, to: HostId) => boolean
 }
 
 interface Event { readonly at: Millis, readonly order: number, readonly run: () => void }
@@ -39,9 +39,9 @@
   now: Millis = 0
   readonly nodes = new Map<HostId, VirtualNode>()
   readonly random: Random
-  readonly network: VirtualNetwork = { delay: () => 1, loss: 0, doubled: 0, jitter: 0, isCut: () => false }
+  readonly network: VirtualNetwork = { delay: () => 1, loss: 0, doubled: 0, jitter: 0, isPartitioned: () => false }
   /** Bytes are not counted here; messages are. */
-  messages = 0
+  messageCount = 0
   #events: Event[] = []
   #order = 0
 
@@ -73,15 +73,15 @@
 
   /** Sends a message over the network. */
   send (from: HostId, row: MessageSent<unknown>): void {
-    this.messages += 1
+    this.messageCount += 1
     const { network, random } = this
-    if (network.isCut(from, row.to) || (network.loss > 0 && random.unit() < network.loss)) return
+    if (network.isPartitioned(from, row.to) || (network.loss > 0 && random.unit() < network.loss)) return
     const copies = network.doubled > 0 && random.unit() < network.doubled ? 2 : 1
     for (let copy = 0; copy < copies; copy += 1) {
       const jitter = network.jitter > 0 ? random.unit() * network.jitter : 0
       this.schedule(network.delay(from, row.to) + jitter, () => {
         const node = this.nodes.get(row.to)
-        if (node !== undefined && !node.isDown && !network.isCut(from, row.to)) node.inbox.push({ kind: 'message', from, message: row.message })
+        if (node !== undefined && !node.isDown && !network.isPartitioned(from, row.to)) node.inbox.push({ kind: 'message', from, message: row.message })
       })
     }
   }
--- a/src/suspicion/containment.spec.ts
+++ b/src/suspicion/containment.spec.ts
@@ -1,22 +1,22 @@
 import t from 'tap'
 import fc from 'fast-check'
 import { defaultPolicies } from '../entry/entryWorld.js'
-import { ConfigurationBuilder, ordinaryTerms } from '../stand-ins/configurationBuilder.js'
+import { ConfigurationBuilder, defaultTerms } from '../stand-ins/configurationBuilder.js'
 import { CRASHING_PATH, VirtualEntry } from '../stand-ins/virtualEntry.js'
-import { delayBetween, placesOver } from '../stand-ins/virtualPlaces.js'
+import { delayByRegion, createLocations } from '../stand-ins/virtualTopology.js'
 import { VirtualFleet } from '../stand-ins/virtualFleet.js'
 import { NoSuspicion, SharedSuspicion } from './suspicionPolicy.js'
 import type { SuspicionPolicy } from './suspicionPolicy.js'
 
-const places = placesOver(['n', 'm', 's'], 2, 4)
+const places = createLocations(['n', 'm', 's'], 2, 4)
 
 interface Result { readonly crashes: number, readonly culprit: string[], readonly innocentsRefused: number, readonly innocents: number }
 
 // The culprit's caller sends it again through another host after each answer; innocents run all the while.
 const run = (seed: number, policy: () => SuspicionPolicy, method: string, resends: number, pause: number): Result => {
   const fleet = new VirtualFleet(seed)
-  fleet.network.delay = delayBetween(27)
-  const builder = new ConfigurationBuilder().profile(ordinaryTerms).service('lookup').hosts(places).workspace('w', 1_000, 500).workspace('v', 1_000, 500)
+  fleet.network.delay = delayByRegion(27)
+  const builder = new ConfigurationBuilder().profile(defaultTerms).service('lookup').hosts(places).workspace('w', 1_000, 500).workspace('v', 1_000, 500)
   const entry = new VirtualEntry(fleet, places, builder.snapshot(), () => ({ ...defaultPolicies(), suspicion: policy() }))
   for (const zone of ['n1', 'n2', 'm1', 'm2', 's1', 's2']) {
     for (let copy = 0; copy < 2; copy += 1) entry.addServer('lookup', `server-${zone}-${copy}`, zone, 5, 20)
@@ -35,7 +35,7 @@
   fleet.runFor(resends * pause + 15_000)
   const innocents = entry.outcomes.filter(row => row.workspace === 'v')
   let crashes = 0
-  for (const server of entry.servers.values()) crashes += server.crashes
+  for (const server of entry.servers.values()) crashes += server.crashCount
   return {
     crashes,
     culprit: entry.outcomes.filter(row => row.workspace === 'w').map(row => `${row.kind} ${row.reason} (${row.ran})`),
--- a/src/warmup/coldGate.spec.ts
+++ b/src/warmup/coldGate.spec.ts
@@ -4,9 +4,9 @@
 import { mergeAnnouncement } from '../announcement/announcementTopic.js'
 import type { Announcement } from '../announcement/types.js'
 import { findCandidates } from '../backend-choice/candidates.js'
-import { ConfigurationBuilder, ordinaryTerms } from '../stand-ins/configurationBuilder.js'
+import { ConfigurationBuilder, defaultTerms } from '../stand-ins/configurationBuilder.js'
 import { VirtualEntry } from '../stand-ins/virtualEntry.js'
-import { placesOver } from '../stand-ins/virtualPlaces.js'
+import { createLocations } from '../stand-ins/virtualTopology.js'
 import { VirtualFleet } from '../stand-ins/virtualFleet.js'
 import { noteColdStart } from './coldGate.js'
 
@@ -14,9 +14,9 @@
 const OVERAGE = 1.5
 
 t.test('all hosts together keep to the warm-up rate of a cold server, on both sides of a cut', async t => {
-  const places = placesOver(['n', 's'], 2, 5)
+  const places = createLocations(['n', 's'], 2, 5)
   const fleet = new VirtualFleet(5)
-  const entry = new VirtualEntry(fleet, places, new ConfigurationBuilder().profile(ordinaryTerms).service('lookup').hosts(places).workspace('w', 100, 50).snapshot())
+  const entry = new VirtualEntry(fleet, places, new ConfigurationBuilder().profile(defaultTerms).service('lookup').hosts(places).workspace('w', 100, 50).snapshot())
   fleet.runFor(6_000)
   const cold: Announcement = { service: toId<ServiceId>('lookup'), backend: toId<BackendId>('fresh'), region: toId('n'), zone: toId<ZoneId>('n1'), target: { address: 'fresh', port: 1 }, slots: 6, epoch: 5, sequence: 1, state: 'up', coldMs: 5_000 }
   let most = 0
--- a/src/warmup/warmupSystem.spec.ts
+++ b/src/warmup/warmupSystem.spec.ts
@@ -3,9 +3,9 @@
 import type { ZoneId } from '../core/id.js'
 import { applyChange } from '../configuration/applyChange.js'
 import type { Command } from '../configuration/types.js'
-import { ConfigurationBuilder, ordinaryTerms } from '../stand-ins/configurationBuilder.js'
+import { ConfigurationBuilder, defaultTerms } from '../stand-ins/configurationBuilder.js'
 import { VirtualEntry } from '../stand-ins/virtualEntry.js'
-import { delayBetween, placesOver } from '../stand-ins/virtualPlaces.js'
+import { delayByRegion, createLocations } from '../stand-ins/virtualTopology.js'
 import type { Plan } from '../plan/types.js'
 import { ExpectedLatency } from '../backend-choice/backendChoice.js'
 import { defaultPolicies } from '../entry/entryWorld.js'
@@ -16,7 +16,7 @@
 
 const plan: Plan = {
   version: 1,
-  terms: { ...ordinaryTerms, shiftCap: 0.1, shiftWindowMs: 2_000 },
+  terms: { ...defaultTerms, shiftCap: 0.1, shiftWindowMs: 2_000 },
   routes: [{ route: toId('read'), authority: 'a.example', prefix: '/', repetition: 'idempotent', timeoutMs: 2_000, targetMs: 300, rank: 0, split: [{ service: toId('s'), weight: 1 }], attempts: 2, isOpen: true, hasAffinity: true, allowedRegions: [] }],
   services: [{ service: toId('s'), healthPath: '/health', connections: 100, warmup: { coldMs: 3_000, ratePerS: RATE } }],
   workspaces: [],
@@ -24,11 +24,11 @@
 }
 
 t.test('when an evacuation ends, the servers of the zone get no more than cold ones may', async t => {
-  const places = placesOver(['n', 'm'], 2, 4)
+  const places = createLocations(['n', 'm'], 2, 4)
   const fleet = new VirtualFleet(4)
-  fleet.network.delay = delayBetween(30)
+  fleet.network.delay = delayByRegion(30)
   const entry = new VirtualEntry(fleet, places, new ConfigurationBuilder().run({ kind: 'put-plan', plan }).snapshot(), () => ({ ...defaultPolicies(), choice: new ExpectedLatency() }))
-  for (const zone of ['n1', 'n2', 'm1', 'm2']) entry.addServer('s', `server-${zone}`, zone, 6, 60).tellsLoad = true
+  for (const zone of ['n1', 'n2', 'm1', 'm2']) entry.addServer('s', `server-${zone}`, zone, 6, 60).reportsLoad = true
   fleet.runFor(8_000)
   const order = (command: Command): void => {
     for (const place of places) {
@@ -40,10 +40,10 @@
   const starts: number[] = []
   const load = (millis: number): void => {
     for (let at = 0; at < millis; at += 4) {
-      const before = server?.started ?? 0
+      const before = server?.startedCount ?? 0
       entry.send(places[(at / 4) % places.length]?.host ?? '', { service: 's', workspace: '', authority: 'a.example', affinity: `o${at % 40}` })
       fleet.runFor(4)
-      for (let count = before; count < (server?.started ?? 0); count += 1) starts.push(fleet.now)
+      for (let count = before; count < (server?.startedCount ?? 0); count += 1) starts.push(fleet.now)
     }
   }
   const zone = toId<ZoneId>('n1')
