--- a/src/affinity/deskLoad.spec.ts
+++ b/src/affinity/deskLoad.spec.ts
@@ -23,12 +23,12 @@
 })
 
 t.test('a zone with a quarter of the servers leaves at twice the ordinary load', async t => {
-  const trouble: Parameters<typeof runBookingLoad>[0]['injectFaults'] = servers => {
+  const trouble: Parameters<typeof runBookingLoad>[0]['trouble'] = servers => {
     for (const server of servers) {
       if (server.announcement.zone === 's2') server.announcement = { ...server.announcement, state: 'draining' }
     }
   }
-  const outcome = runBookingLoad({ load: 2, warmUpMs: WARM_UP_MS, measuredMs: 9_000, injectFaults: trouble })
+  const outcome = runBookingLoad({ load: 2, warmUpMs: WARM_UP_MS, measuredMs: 9_000, trouble })
   t.ok(outcome.all >= 0.75, `three quarters of the worth are earned: ${describe(outcome)}`)
 })
 
@@ -38,9 +38,9 @@
 })
 
 t.test('two servers in five turn twelve times slower', async t => {
-  const trouble: Parameters<typeof runBookingLoad>[0]['injectFaults'] = servers => {
+  const trouble: Parameters<typeof runBookingLoad>[0]['trouble'] = servers => {
     for (const [number, server] of servers.entries()) server.slowdownFactor = number % 5 < 2 ? 12 : 1
   }
-  const outcome = runBookingLoad({ load: 1, warmUpMs: WARM_UP_MS, measuredMs: 9_000, injectFaults: trouble })
+  const outcome = runBookingLoad({ load: 1, warmUpMs: WARM_UP_MS, measuredMs: 9_000, trouble })
   t.ok(outcome.all >= 0.75, describe(outcome))
 })
--- a/src/bench/capacity.ts
+++ b/src/bench/capacity.ts
@@ -1,4 +1,4 @@
-/** Slopes against the number of nodes, changes, keys and blocks, from whole fleets of tables and from this machine's disk. */
+/** Measures how traffic, CPU time, disk time and memory grow with the number of nodes, changes, keys and blocks, on virtual fleets and on this machine's disk. */
 
 import { mkdtempSync, rmSync } from 'node:fs'
 import { tmpdir } from 'node:os'
@@ -19,17 +19,17 @@
 import { BlockTable } from '../lookup/blockTable.js'
 import { makeBlocks } from './lookups.js'
 
-type Say = (line: string) => void
+type PrintLine = (line: string) => void
 
-/** TCP, IP and WebSocket headers of one message, in bytes. */
+/** Size of the TCP, IP and WebSocket headers of a message, in bytes. */
 const HEADER_BYTES = 60
-const SETTLE_MS = 90_000
-const OBSERVED_MS = 20_000
-const CHANGES = 20
+const CONVERGENCE_MS = 90_000
+const OBSERVATION_MS = 20_000
+const CHANGE_COUNT = 20
 
-const quantile = (values: readonly number[], part: number): number => [...values].sort((a, b) => a - b)[Math.floor(values.length * part)] ?? 0
+const quantile = (values: readonly number[], fraction: number): number => [...values].sort((a, b) => a - b)[Math.floor(values.length * fraction)] ?? 0
 
-/** Counts bytes as they would go over links. */
+/** Counts the bytes that messages would take on the network. */
 class CountingFleet extends VirtualFleet {
   bytes = 0
 
@@ -39,45 +39,45 @@
   }
 }
 
-const measureNodes = (say: Say, hostsPerZone: number): void => {
-  const places = createLocations(['n', 'm', 's'], 2, hostsPerZone)
+const measureNodes = (printLine: PrintLine, hostsPerZone: number): void => {
+  const locations = createLocations(['n', 'm', 's'], 2, hostsPerZone)
   const fleet = new CountingFleet(1)
   fleet.network.delay = delayByRegion(27)
   const control = new VirtualControl(fleet, ['n1-c', 'm1-c', 's1-c'])
-  const entry = new VirtualEntry(fleet, places, { ...new ConfigurationBuilder().snapshot(), index: 0 })
-  for (const place of places) {
-    const tables = entry.tables(place.host)
+  const entry = new VirtualEntry(fleet, locations, { ...new ConfigurationBuilder().snapshot(), index: 0 })
+  for (const location of locations) {
+    const tables = entry.tables(location.host)
     tables.gossip.vouch = null
     tables.gossip.confirmedAt = null
     tables.members.put({ member: control.tables(toId<HostId>('n1-c')).gossip.self, changedAt: 0, index: 0 })
   }
-  fleet.runFor(SETTLE_MS)
-  const nodes = places.length + 3
+  fleet.runFor(CONVERGENCE_MS)
+  const nodes = locations.length + 3
   fleet.bytes = 0
   fleet.messageCount = 0
-  const cpu = process.cpuUsage()
-  fleet.runFor(OBSERVED_MS)
-  const idleCpu = process.cpuUsage(cpu)
+  const cpuAtStart = process.cpuUsage()
+  fleet.runFor(OBSERVATION_MS)
+  const idleCpu = process.cpuUsage(cpuAtStart)
   const idleBytes = fleet.bytes
   const idleMessages = fleet.messageCount
   const times: number[] = []
-  for (let n = 0; n < CHANGES; n += 1) {
+  for (let n = 0; n < CHANGE_COUNT; n += 1) {
     const leader = control.leaders()[0]
     if (leader === undefined) continue
-    const from = fleet.now
-    const target = control.tables(leader).log.lastIndex + 1
+    const proposedAt = fleet.now
+    const targetIndex = control.tables(leader).log.lastIndex + 1
     control.propose(leader, { requestId: toId<RequestId>(`r${n}`), operator: toId<OperatorId>('ann'), roles: ['assign'], command: { kind: 'put-workspace', workspace: toId(`w${n}`), expectedVersion: 0, rate: 1, burst: 1, weight: 1 } })
-    while (places.some(place => entry.tables(place.host).configuration.index < target) && fleet.now - from < 30_000) fleet.runFor(10)
-    times.push(fleet.now - from)
+    while (locations.some(location => entry.tables(location.host).configuration.index < targetIndex) && fleet.now - proposedAt < 30_000) fleet.runFor(10)
+    times.push(fleet.now - proposedAt)
     fleet.runFor(500)
   }
-  const seconds = OBSERVED_MS / 1_000
+  const seconds = OBSERVATION_MS / 1_000
   const perNode = (value: number): number => value / nodes / seconds
-  const cores = 100 * (idleCpu.user + idleCpu.system) / 1e6 / nodes / seconds
-  say(`${String(nodes).padStart(4)} nodes: ${perNode(idleBytes).toFixed(0)} B/s and ${perNode(idleMessages).toFixed(1)} messages/s sent a node, ${cores.toFixed(3)} % of a core a node for the systems alone; change in force everywhere p50 ${quantile(times, 0.5)} ms, worst ${Math.max(...times)} ms of ${times.length}`)
+  const corePercent = 100 * (idleCpu.user + idleCpu.system) / 1e6 / nodes / seconds
+  printLine(`${String(nodes).padStart(4)} nodes: ${perNode(idleBytes).toFixed(0)} B/s and ${perNode(idleMessages).toFixed(1)} messages/s sent a node, ${corePercent.toFixed(3)} % of a core a node for the systems alone; change in force everywhere p50 ${quantile(times, 0.5)} ms, worst ${Math.max(...times)} ms of ${times.length}`)
 }
 
-const measureDisk = async (say: Say): Promise<void> => {
+const measureDisk = async (printLine: PrintLine): Promise<void> => {
   const folder = mkdtempSync(join(tmpdir(), 'rhubarbseam-disk-'))
   try {
     const replica = toId<ReplicaId>('c#0')
@@ -94,36 +94,36 @@
     }
     const seconds = (performance.now() - start) / 1_000
     opened.value.store.close()
-    say(`disk: ${Math.round(entries / seconds)} synced writes a second one after another, p50 ${quantile(times, 0.5).toFixed(2)} ms, p99 ${quantile(times, 0.99).toFixed(2)} ms`)
+    printLine(`disk: ${Math.round(entries / seconds)} synced writes a second one after another, p50 ${quantile(times, 0.5).toFixed(2)} ms, p99 ${quantile(times, 0.99).toFixed(2)} ms`)
     const before = performance.now()
-    const again = DiskStore.open(folder)
-    say(`recovery: ${entries} entries read in ${(performance.now() - before).toFixed(0)} ms (the log is compacted every 1,000)`)
-    if (again.tag === 'ok') again.value.store.close()
+    const reopened = DiskStore.open(folder)
+    printLine(`recovery: ${entries} entries read in ${(performance.now() - before).toFixed(0)} ms (the log is compacted every 1,000)`)
+    if (reopened.tag === 'ok') reopened.value.store.close()
   } finally {
     rmSync(folder, { recursive: true })
   }
 }
 
-const heap = (): number => {
+const heapBytes = (): number => {
   globalThis.gc?.()
   return process.memoryUsage().heapUsed + process.memoryUsage().arrayBuffers
 }
 
-const measureMemory = (say: Say): void => {
-  const beforeKeys = heap()
+const measureMemory = (printLine: PrintLine): void => {
+  const beforeKeys = heapBytes()
   const keys = new RowTable<string, KeyGrant>(row => row.digest)
   const count = 100_000
   for (let n = 0; n < count; n += 1) keys.put({ digest: toId(n.toString(16).padStart(64, '0')), workspace: toId(`w${n % 1_000}`), state: 'given' })
-  say(`keys: ${((heap() - beforeKeys) / count).toFixed(0)} bytes a key at ${keys.size} keys`)
-  const beforeBlocks = heap()
+  printLine(`keys: ${((heapBytes() - beforeKeys) / count).toFixed(0)} bytes a key at ${keys.size} keys`)
+  const beforeBlocks = heapBytes()
   const table = new BlockTable(makeBlocks(570_000))
-  say(`blocks: ${(table.bytes / 570_000).toFixed(1)} bytes a block in columns, ${((heap() - beforeBlocks) / 1024 / 1024).toFixed(1)} MB of heap for 570,000`)
+  printLine(`blocks: ${(table.bytes / 570_000).toFixed(1)} bytes a block in columns, ${((heapBytes() - beforeBlocks) / 1024 / 1024).toFixed(1)} MB of heap for 570,000`)
 }
 
-/** Measures and prints. */
-export const measureCapacity = async (say: Say): Promise<void> => {
-  say('control traffic and spread of changes, virtual clock, 27 ms one way between regions, 60 bytes of headers a message')
-  for (const hostsPerZone of [4, 8, 16, 32]) measureNodes(say, hostsPerZone)
-  await measureDisk(say)
-  measureMemory(say)
+/** Measures the capacity and prints one line for each figure. */
+export const measureCapacity = async (printLine: PrintLine): Promise<void> => {
+  printLine('control traffic and spread of changes, virtual clock, 27 ms one way between regions, 60 bytes of headers a message')
+  for (const hostsPerZone of [4, 8, 16, 32]) measureNodes(printLine, hostsPerZone)
+  await measureDisk(printLine)
+  measureMemory(printLine)
 }
--- a/src/bench/lookupCaller.ts
+++ b/src/bench/lookupCaller.ts
@@ -1,16 +1,16 @@
-/** A worker that makes look-ups over HTTP, so that its processor time does not count as the entry host's. */
+/** Worker thread that sends look-ups over HTTP, so that the callers do not run in the entry host's thread. */
 
 import { parentPort, workerData } from 'node:worker_threads'
 import { Agent } from 'undici'
 
 const { origin, seconds, connections } = workerData as { origin: string, seconds: number, connections: number }
 
-const call = async (): Promise<number> => {
+const sendLookups = async (): Promise<number> => {
   const agent = new Agent({ connections, pipelining: 1 })
-  const until = performance.now() + seconds * 1_000
+  const endAt = performance.now() + seconds * 1_000
   let answered = 0
   await Promise.all(Array.from({ length: connections }, async () => {
-    while (performance.now() < until) {
+    while (performance.now() < endAt) {
       const answer = await agent.request({ origin, path: '/v1/lookup?service=lookup', method: 'GET' })
       await answer.body.dump()
       if (answer.statusCode === 200) answered += 1
@@ -20,4 +20,4 @@
   return answered
 }
 
-void call().then(answered => { parentPort?.postMessage(answered) })
+void sendLookups().then(answered => { parentPort?.postMessage(answered) })
--- a/src/bench/lookups.ts
+++ b/src/bench/lookups.ts
@@ -1,4 +1,4 @@
-/** Look-ups: the decision alone with the target's client blocks, and over HTTP from one process. */
+/** Measures the rate of look-ups, as decisions alone with the target number of client blocks, and over HTTP from one process. */
 
 import { resolve as resolvePath } from 'node:path'
 import { Worker } from 'node:worker_threads'
@@ -13,22 +13,22 @@
 import { ConfigurationBuilder, defaultTerms } from '../stand-ins/configurationBuilder.js'
 import { createLocations } from '../stand-ins/virtualTopology.js'
 
-/** Client blocks at the size to design for. */
+/** Number of client blocks at the target size. */
 export const TARGET_BLOCKS = 570_000
 const TARGET_SITES = 540
 const MEGABYTE = 1024 * 1024
-const DECISIONS = 2_000_000
+const DECISION_COUNT = 2_000_000
 const HTTP_SECONDS = 5
 const HTTP_CONNECTIONS = 16
-const HTTP_CALLERS = 2
+const HTTP_WORKERS = 2
 
-const countFromWorker = async (origin: string): Promise<number> => await new Promise((resolve, reject) => {
+const countWorkerLookups = async (origin: string): Promise<number> => await new Promise((resolve, reject) => {
   const worker = new Worker(resolvePath('dist', 'lookupCaller.cjs'), { workerData: { origin, seconds: HTTP_SECONDS, connections: HTTP_CONNECTIONS } })
   worker.once('message', resolve)
   worker.once('error', reject)
 })
 
-/** Blocks spread over the address space, without overlaps. */
+/** Creates blocks that are spread over the address space without overlaps. */
 export const makeBlocks = (count: number): ClientBlock[] => {
   const blocks: ClientBlock[] = []
   const stride = Math.floor(2 ** 32 / count / 256) * 256
@@ -38,26 +38,26 @@
 
 const snapshot = new ConfigurationBuilder().profile(defaultTerms).service('lookup').hosts(createLocations(['n', 'm', 's'], 2, 4)).snapshot()
 
-/** Measures and prints. */
-export const measureLookups = async (say: (line: string) => void): Promise<void> => {
+/** Measures the look-ups and prints one line for each figure. */
+export const measureLookups = async (printLine: (line: string) => void): Promise<void> => {
   let blocks: ClientBlock[] | null = makeBlocks(TARGET_BLOCKS)
   const table = new BlockTable(blocks)
   blocks = null
   const entry = await startLocalEntry({ snapshot, blocks: table })
   const random = new SeededRandom(1)
   const clients = Uint32Array.from({ length: 65_536 }, () => random.below(2 ** 31) * 2)
-  const question = { kind: 'lookup', lookup: toId('l'), service: toId('lookup'), client: 0 } as { -readonly [K in keyof LookupReceived]: LookupReceived[K] }
+  const lookup = { kind: 'lookup', lookup: toId('l'), service: toId('lookup'), client: 0 } as { -readonly [K in keyof LookupReceived]: LookupReceived[K] }
   const start = performance.now()
-  for (let n = 0; n < DECISIONS; n += 1) {
-    question.client = clients[n & 65_535] ?? 0
-    answerLookup(entry.tables, random, question, 0)
+  for (let n = 0; n < DECISION_COUNT; n += 1) {
+    lookup.client = clients[n & 65_535] ?? 0
+    answerLookup(entry.tables, random, lookup, 0)
   }
   const seconds = (performance.now() - start) / 1_000
-  say(`decision alone: ${Math.round(DECISIONS / seconds)} a second with ${table.size} runs of ${TARGET_BLOCKS} blocks in ${(table.bytes / MEGABYTE).toFixed(1)} MB of columns (target 500,000 a second, under 64 MB)`)
+  printLine(`decision alone: ${Math.round(DECISION_COUNT / seconds)} a second with ${table.size} runs of ${TARGET_BLOCKS} blocks in ${(table.bytes / MEGABYTE).toFixed(1)} MB of columns (target 500,000 a second, under 64 MB)`)
   const origin = `http://127.0.0.1:${entry.callerPort}`
-  const callers = Array.from({ length: HTTP_CALLERS }, async () => await countFromWorker(origin))
+  const callers = Array.from({ length: HTTP_WORKERS }, async () => await countWorkerLookups(origin))
   const answered = (await Promise.all(callers)).reduce((sum, count) => sum + count, 0)
-  say(`over HTTP: ${Math.round(answered / HTTP_SECONDS)} a second from one process, ${HTTP_CALLERS} threads of callers beside it (target 4,070 a second)`)
-  say(`resident memory of the process: ${(process.memoryUsage().rss / MEGABYTE).toFixed(0)} MB, node itself and the caller included`)
+  printLine(`over HTTP: ${Math.round(answered / HTTP_SECONDS)} a second from one process, ${HTTP_WORKERS} threads of callers beside it (target 4,070 a second)`)
+  printLine(`resident memory of the process: ${(process.memoryUsage().rss / MEGABYTE).toFixed(0)} MB, node itself and the caller included`)
   await entry.stop()
 }
--- a/src/bench/policySets.ts
+++ b/src/bench/policySets.ts
@@ -1,4 +1,4 @@
-/** Named sets of policies that the bench runs side by side. */
+/** Named policy sets that the benchmarks compare. */
 
 import { defaultPolicies } from '../entry/entryWorld.js'
 import type { EntryPolicies } from '../entry/entryWorld.js'
@@ -10,7 +10,7 @@
 import { UncappedShift } from '../shift/shiftPolicy.js'
 import { NoSuspicion } from '../suspicion/suspicionPolicy.js'
 
-/** Policy sets by name: what ships, all baselines together, and each baseline alone. */
+/** Policy sets by name: the shipped policies, all baseline policies together, and single baseline policies. */
 export const policySets: Readonly<Record<string, () => EntryPolicies>> = {
   shipped: defaultPolicies,
   baseline: () => ({ allowance: new FixedPartPolicy(), choice: new RandomChoice(), queue: new FirstComeQueue(), records: new NoRecords(), suspicion: new NoSuspicion(), shift: new UncappedShift(), retries: new SavedRetries() }),
--- a/src/stand-ins/backendServer.ts
+++ b/src/stand-ins/backendServer.ts
@@ -1,4 +1,4 @@
-/** A stand-in for a backend server: announces itself, has slots, sheds, drains, and counts what it ran. */
+/** A fake backend server that announces itself, runs requests in a fixed number of slots, sheds load, drains and counts its runs. */
 
 import { createHash } from 'node:crypto'
 import { createServer } from 'node:http'
@@ -6,7 +6,7 @@
 import { Agent } from 'undici'
 import { ANNOUNCEMENT_INTERVAL } from '../announcement/announcementSystem.js'
 
-/** How a stand-in behaves. */
+/** Configuration of a fake backend server, read from JSON. */
 export interface BackendServerOptions {
   readonly service: string
   readonly backend: string
@@ -15,30 +15,30 @@
   readonly address: string
   readonly port: number
   readonly slots: number
-  /** Addresses of entry hosts that it announces itself to, as HOST:PORT. */
+  /** Announcement addresses of the entry hosts, as HOST:PORT. */
   readonly announceTo: readonly string[]
   readonly token: string
-  /** Time that a request takes, in milliseconds. */
+  /** Processing time of a request, in milliseconds. */
   readonly workMs: number
 }
 
-/** What a stand-in has seen. */
+/** Counters of a fake backend server, served as JSON at `/stand-in/statistics`. */
 export interface BackendStatistics {
   ran: number
   shed: number
-  /** Requests that came with a caller's key. */
+  /** Requests that carried a caller's key; entry hosts must remove it. */
   keysSeen: number
-  /** Runs by Idempotency-Key. */
+  /** Number of runs by Idempotency-Key. */
   readonly runsByKey: Record<string, number>
-  /** Requests whose caller or entry host went away before the answer. */
+  /** Requests whose connection closed before the response was sent. */
   cancelled: number
-  /** Wall-clock time of the last new work, in milliseconds. */
+  /** Wall-clock time at which the last request started, in milliseconds. */
   lastStartedAt: number
 }
 
-const KEY_HEADERS = ['authorization', 'x-api-key']
+const CREDENTIAL_HEADERS = ['authorization', 'x-api-key']
 
-const readDigest = async (request: IncomingMessage): Promise<{ bytes: number, digest: string }> => {
+const hashBody = async (request: IncomingMessage): Promise<{ bytes: number, digest: string }> => {
   const hash = createHash('sha256')
   let bytes = 0
   for await (const chunk of request) {
@@ -48,21 +48,21 @@
   return { bytes, digest: hash.digest('hex') }
 }
 
-/** A running stand-in. */
+/** Runs a fake backend server. */
 export class BackendServer {
   readonly statistics: BackendStatistics = { ran: 0, shed: 0, keysSeen: 0, runsByKey: {}, cancelled: 0, lastStartedAt: 0 }
   readonly #server: Server
-  /** Announcements leave from the address that the server serves on: entry hosts go by it. */
-  readonly #agent: Agent
+  /** Sends announcements from the server's own address, because entry hosts take the source address as the server's. */
+  readonly #announcementClient: Agent
   readonly #epoch = Date.now()
   #sequence = 0
-  #running = 0
+  #runningCount = 0
   #state: 'up' | 'draining' = 'up'
-  #timer: NodeJS.Timeout | undefined
+  #announcementTimer: NodeJS.Timeout | undefined
   #port = 0
 
   constructor (readonly options: BackendServerOptions) {
-    this.#agent = new Agent({ localAddress: options.address })
+    this.#announcementClient = new Agent({ localAddress: options.address })
     this.#server = createServer((request, response) => { this.#route(request, response) })
   }
 
@@ -76,38 +76,38 @@
     const bound = this.#server.address()
     if (typeof bound === 'object' && bound !== null) this.#port = bound.port
     await this.#announce()
-    this.#timer = setInterval(() => { void this.#announce() }, ANNOUNCEMENT_INTERVAL)
+    this.#announcementTimer = setInterval(() => { void this.#announce() }, ANNOUNCEMENT_INTERVAL)
   }
 
-  /** Takes no new work, finishes what runs, and stops. */
+  /** Announces the drain, finishes the running requests and stops. */
   async drain (): Promise<void> {
     this.#state = 'draining'
     await this.#announce()
     const closed = new Promise<void>(resolve => { this.#server.close(() => { resolve() }) })
     setTimeout(() => { this.#server.closeIdleConnections() }, 2_500).unref()
     await closed
-    clearInterval(this.#timer)
-    await this.#agent.destroy()
+    clearInterval(this.#announcementTimer)
+    await this.#announcementClient.destroy()
   }
 
-  /** Stops at once, as a crash would. */
+  /** Closes all connections at once, like a crash. */
   kill (): void {
-    clearInterval(this.#timer)
+    clearInterval(this.#announcementTimer)
     this.#server.close()
     this.#server.closeAllConnections()
-    void this.#agent.destroy()
+    void this.#announcementClient.destroy()
   }
 
   async #announce (): Promise<void> {
     this.#sequence += 1
     const { service, backend, region, zone, slots, token, announceTo } = this.options
     const body = JSON.stringify({ service, backend, region, zone, port: this.#port, slots, epoch: this.#epoch, sequence: this.#sequence, state: this.#state })
-    await Promise.all(announceTo.map(async target => {
+    await Promise.all(announceTo.map(async entryHost => {
       try {
-        const answer = await this.#agent.request({ origin: `http://${target}`, path: '/v1/announcements', method: 'POST', headers: { authorization: `Bearer ${token}`, 'content-type': 'application/json' }, body, headersTimeout: 1_000 })
+        const answer = await this.#announcementClient.request({ origin: `http://${entryHost}`, path: '/v1/announcements', method: 'POST', headers: { authorization: `Bearer ${token}`, 'content-type': 'application/json' }, body, headersTimeout: 1_000 })
         await answer.body.dump()
       } catch {
-        // The next announcement tries again.
+        // A failed announcement is not retried; the next one is sent after the announcement interval.
       }
     }))
   }
@@ -117,25 +117,25 @@
       response.writeHead(200, { 'content-type': 'application/json' }).end(JSON.stringify(this.statistics))
       return
     }
-    if (this.#running >= this.options.slots) {
+    if (this.#runningCount >= this.options.slots) {
       this.statistics.shed += 1
       response.writeHead(503, { 'retry-after': '1' }).end()
       return
     }
-    void this.#work(request, response)
+    void this.#handleRequest(request, response)
   }
 
-  async #work (request: IncomingMessage, response: ServerResponse): Promise<void> {
-    this.#running += 1
+  async #handleRequest (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    this.#runningCount += 1
     this.statistics.ran += 1
     this.statistics.lastStartedAt = Date.now()
-    if (KEY_HEADERS.some(name => request.headers[name] !== undefined)) this.statistics.keysSeen += 1
+    if (CREDENTIAL_HEADERS.some(name => request.headers[name] !== undefined)) this.statistics.keysSeen += 1
     const idempotencyKey = request.headers['idempotency-key']
     if (typeof idempotencyKey === 'string') {
       this.statistics.runsByKey[idempotencyKey] = (this.statistics.runsByKey[idempotencyKey] ?? 0) + 1
     }
     try {
-      const { bytes, digest } = await readDigest(request)
+      const { bytes, digest } = await hashBody(request)
       await new Promise(resolve => setTimeout(resolve, this.options.workMs))
       if (response.destroyed) this.statistics.cancelled += 1
       response.writeHead(200, { 'content-type': 'application/json' })
@@ -150,7 +150,7 @@
     } catch {
       this.statistics.cancelled += 1
     } finally {
-      this.#running -= 1
+      this.#runningCount -= 1
     }
   }
 }
--- a/src/stand-ins/backendServerMain.ts
+++ b/src/stand-ins/backendServerMain.ts
@@ -1,4 +1,4 @@
-/** Runs a stand-in backend server as a process of its own: `backendServer.cjs OPTIONS.json`. */
+/** Runs a fake backend server as a separate process: `backendServer.cjs OPTIONS.json`. */
 
 import { readFileSync } from 'node:fs'
 import { BackendServer } from './backendServer.js'
--- a/src/stand-ins/bookingLoad.ts
+++ b/src/stand-ins/bookingLoad.ts
@@ -1,4 +1,4 @@
-/** A load like a booking desk's: four kinds of requests to three services over regions of uneven size, with waves. */
+/** Simulates the load of a booking site: four kinds of requests to three services, in regions of uneven size, at rates that vary in waves. */
 
 import { toId } from '../core/id.js'
 import type { Millis } from '../core/tick.js'
@@ -14,8 +14,7 @@
 import type { VirtualServer } from './virtualServer.js'
 import { VirtualFleet } from './virtualFleet.js'
 
-/** A kind of requests. */
-interface Kind {
+interface RequestKind {
   readonly name: string
   readonly service: string
   readonly perSecond: number
@@ -23,56 +22,58 @@
   readonly targetMs: Millis
   readonly timeoutMs: Millis
   readonly rank: number
-  readonly worth: number
-  readonly objects: number
+  /** Weight of a request in the score. */
+  readonly value: number
+  /** Number of distinct affinity keys in each region. */
+  readonly objectCount: number
 }
 
-const KINDS: readonly Kind[] = [
-  { name: 'peek', service: 'calendar', perSecond: 238, workMs: 360, targetMs: 300, timeoutMs: 800, rank: 2, worth: 1, objects: 59 },
-  { name: 'deposit', service: 'ledger', perSecond: 114, workMs: 480, targetMs: 400, timeoutMs: 1_000, rank: 1, worth: 2, objects: 28 },
-  { name: 'upload', service: 'reels', perSecond: 130, workMs: 880, targetMs: 600, timeoutMs: 1_500, rank: 2, worth: 1, objects: 32 },
-  { name: 'lookup', service: 'reels', perSecond: 93, workMs: 144, targetMs: 200, timeoutMs: 800, rank: 1, worth: 2, objects: 24 }
+const REQUEST_KINDS: readonly RequestKind[] = [
+  { name: 'peek', service: 'calendar', perSecond: 238, workMs: 360, targetMs: 300, timeoutMs: 800, rank: 2, value: 1, objectCount: 59 },
+  { name: 'deposit', service: 'ledger', perSecond: 114, workMs: 480, targetMs: 400, timeoutMs: 1_000, rank: 1, value: 2, objectCount: 28 },
+  { name: 'upload', service: 'reels', perSecond: 130, workMs: 880, targetMs: 600, timeoutMs: 1_500, rank: 2, value: 1, objectCount: 32 },
+  { name: 'lookup', service: 'reels', perSecond: 93, workMs: 144, targetMs: 200, timeoutMs: 800, rank: 1, value: 2, objectCount: 24 }
 ]
 
-interface Pool { readonly service: string, readonly slots: number, readonly memory: number, readonly perZone: readonly number[] }
+interface ServerPool { readonly service: string, readonly slots: number, readonly cacheCapacity: number, /** Number of servers in a zone of each region. */ readonly serversPerZone: readonly number[] }
 
-const POOLS: readonly Pool[] = [
-  { service: 'calendar', slots: 6, memory: 61, perZone: [1, 2, 3] },
-  { service: 'ledger', slots: 4, memory: 29, perZone: [1, 2, 3] },
-  { service: 'reels', slots: 6, memory: 41, perZone: [1, 3, 4] }
+const SERVER_POOLS: readonly ServerPool[] = [
+  { service: 'calendar', slots: 6, cacheCapacity: 61, serversPerZone: [1, 2, 3] },
+  { service: 'ledger', slots: 4, cacheCapacity: 29, serversPerZone: [1, 2, 3] },
+  { service: 'reels', slots: 6, cacheCapacity: 41, serversPerZone: [1, 3, 4] }
 ]
 
 const REGIONS = ['n', 'm', 's']
-const REGION_MS = 35
-const WARM_PART = 0.3
-const LATE_PART = 0.2
-const WAVE_SWING = 0.55
-const WAVE_MS = 36_000
-/** Part of a wave by which the smallest region is ahead, so that it peaks in the measured time. */
+const REGION_DELAY_MS = 35
+const WARM_FACTOR = 0.3
+const LATE_VALUE_FACTOR = 0.2
+const WAVE_AMPLITUDE = 0.55
+const WAVE_PERIOD_MS = 36_000
+/** Phase of the first region's wave, as a fraction of the period, so that the smallest region peaks in the measured period. */
 const WAVE_PHASE = 0.7
 const AUTHORITY = 'a.example'
 
 const plan: Plan = {
   version: 1,
   terms: { ...defaultTerms, shiftCap: 0.15, shiftWindowMs: 2_000 },
-  routes: KINDS.map(kind => ({ route: toId(kind.name), authority: AUTHORITY, prefix: `/${kind.name}/`, repetition: 'idempotent', timeoutMs: kind.timeoutMs, targetMs: kind.targetMs, rank: kind.rank, split: [{ service: toId(kind.service), weight: 1 }], attempts: 2, isOpen: true, hasAffinity: true, allowedRegions: [] })),
-  services: POOLS.map(pool => ({ service: toId(pool.service), healthPath: '/health', connections: 800, warmup: { coldMs: 0, ratePerS: 100 } })),
+  routes: REQUEST_KINDS.map(kind => ({ route: toId(kind.name), authority: AUTHORITY, prefix: `/${kind.name}/`, repetition: 'idempotent', timeoutMs: kind.timeoutMs, targetMs: kind.targetMs, rank: kind.rank, split: [{ service: toId(kind.service), weight: 1 }], attempts: 2, isOpen: true, hasAffinity: true, allowedRegions: [] })),
+  services: SERVER_POOLS.map(pool => ({ service: toId(pool.service), healthPath: '/health', connections: 800, warmup: { coldMs: 0, ratePerS: 100 } })),
   workspaces: [],
   document: null
 }
 
-/** How a load is played. */
+/** Options of a run of the booking load. */
 export interface BookingLoadOptions {
-  /** Times the ordinary rate. */
+  /** Multiplier of the normal request rate. */
   readonly load: number
   readonly warmUpMs: Millis
   readonly measuredMs: Millis
   readonly policies?: Partial<EntryPolicies>
-  /** What happens to the servers when the measured time begins. */
-  readonly injectFaults?: (servers: readonly VirtualServer[]) => void
+  /** Called once with all servers when the measured period starts. */
+  readonly trouble?: (servers: readonly VirtualServer[]) => void
 }
 
-/** Worth earned of the worth asked for, 0 to 1. */
+/** Scores, as fractions 0 to 1 of the highest possible value, and the number of requests by outcome. A late response earns `LATE_VALUE_FACTOR` of its value. */
 export interface BookingLoadResult {
   readonly all: number
   readonly worstRegion: number
@@ -82,12 +83,12 @@
 
 const addServers = (entry: VirtualEntry): VirtualServer[] => {
   const servers: VirtualServer[] = []
-  for (const { service, slots, memory, perZone } of POOLS) {
+  for (const { service, slots, cacheCapacity, serversPerZone } of SERVER_POOLS) {
     for (const [position, region] of REGIONS.entries()) {
       for (const zone of [`${region}1`, `${region}2`]) {
-        for (let number = 1; number <= (perZone[position] ?? 0); number += 1) {
+        for (let number = 1; number <= (serversPerZone[position] ?? 0); number += 1) {
           const server = entry.addServer(service, `${service}-${zone}-${number}`, zone, slots, 100)
-          Object.assign(server, { tellsLoad: true, queue: slots * 3, memory: { most: memory, warmPart: WARM_PART, objects: new Set() } })
+          Object.assign(server, { reportsLoad: true, queueCapacity: slots * 3, cache: { capacity: cacheCapacity, warmFactor: WARM_FACTOR, objects: new Set() } })
           servers.push(server)
         }
       }
@@ -96,60 +97,60 @@
   return servers
 }
 
-const waveAt = (region: string, now: Millis): number =>
-  1 + WAVE_SWING * Math.sin(2 * Math.PI * (now / WAVE_MS + WAVE_PHASE + REGIONS.indexOf(region) / REGIONS.length))
+const waveFactorAt = (region: string, now: Millis): number =>
+  1 + WAVE_AMPLITUDE * Math.sin(2 * Math.PI * (now / WAVE_PERIOD_MS + WAVE_PHASE + REGIONS.indexOf(region) / REGIONS.length))
 
-/** Plays the load under the virtual clock. */
-export const runBookingLoad = ({ load, warmUpMs, measuredMs, policies, injectFaults: trouble }: BookingLoadOptions): BookingLoadResult => {
+/** Runs the booking load under a virtual clock with a fixed seed and returns its scores. */
+export const runBookingLoad = ({ load, warmUpMs, measuredMs, policies, trouble }: BookingLoadOptions): BookingLoadResult => {
   const fleet = new VirtualFleet(9)
-  fleet.network.delay = delayByRegion(REGION_MS)
-  const places = createLocations(REGIONS, 2, 4)
-  const entry = new VirtualEntry(fleet, places, new ConfigurationBuilder().run({ kind: 'put-plan', plan }).snapshot(), () => ({ ...defaultPolicies(), queue: new RankedMaxMinQueue(), retries: new SharedRetries({ ratio: 0.14, slack: 90 }), choice: new ExpectedLatency(), ...policies }))
+  fleet.network.delay = delayByRegion(REGION_DELAY_MS)
+  const locations = createLocations(REGIONS, 2, 4)
+  const entry = new VirtualEntry(fleet, locations, new ConfigurationBuilder().run({ kind: 'put-plan', plan }).snapshot(), () => ({ ...defaultPolicies(), queue: new RankedMaxMinQueue(), retries: new SharedRetries({ ratio: 0.14, slack: 90 }), choice: new ExpectedLatency(), ...policies }))
   const servers = addServers(entry)
   fleet.runFor(8_000)
   const start = fleet.now
-  const kindOf = new Map<string, Kind>()
-  const whole = KINDS.reduce((sum, kind) => sum + kind.perSecond, 0)
+  const kindOf = new Map<string, RequestKind>()
+  const totalPerSecond = REQUEST_KINDS.reduce((sum, kind) => sum + kind.perSecond, 0)
   const { random } = fleet
-  let isTroubled = false
+  let hasFaults = false
   while (fleet.now < start + warmUpMs + measuredMs) {
-    if (!isTroubled && fleet.now >= start + warmUpMs) {
-      isTroubled = true
+    if (!hasFaults && fleet.now >= start + warmUpMs) {
+      hasFaults = true
       trouble?.(servers)
     }
-    const { host = '', region = '' } = places[random.below(places.length)] ?? {}
-    let left = random.unit() * whole
-    const kind = KINDS.find(each => { left -= each.perSecond; return left < 0 })
-    if (kind !== undefined && random.unit() * (1 + WAVE_SWING) < waveAt(region, fleet.now)) {
-      const exchange = entry.send(host, { service: kind.service, workspace: '', authority: AUTHORITY, path: `/${kind.name}/x`, affinity: `${kind.name}-${region}-${random.below(kind.objects)}`, workMs: kind.workMs * (0.85 + 0.3 * random.unit()) })
+    const { host = '', region = '' } = locations[random.below(locations.length)] ?? {}
+    let remaining = random.unit() * totalPerSecond
+    const kind = REQUEST_KINDS.find(candidate => { remaining -= candidate.perSecond; return remaining < 0 })
+    if (kind !== undefined && random.unit() * (1 + WAVE_AMPLITUDE) < waveFactorAt(region, fleet.now)) {
+      const exchange = entry.send(host, { service: kind.service, workspace: '', authority: AUTHORITY, path: `/${kind.name}/x`, affinity: `${kind.name}-${region}-${random.below(kind.objectCount)}`, workMs: kind.workMs * (0.85 + 0.3 * random.unit()) })
       kindOf.set(exchange, kind)
     }
-    fleet.runFor(2_000 * random.unit() / (whole * load * (1 + WAVE_SWING)))
+    fleet.runFor(2_000 * random.unit() / (totalPerSecond * load * (1 + WAVE_AMPLITUDE)))
   }
   fleet.runFor(4_000)
-  return summarize(entry, kindOf, start + warmUpMs)
+  return scoreOutcomes(entry, kindOf, start + warmUpMs)
 }
 
-const summarize = (entry: VirtualEntry, kindOf: ReadonlyMap<string, Kind>, from: Millis): BookingLoadResult => {
-  const owed: Record<string, number> = {}
+const scoreOutcomes = (entry: VirtualEntry, kindOf: ReadonlyMap<string, RequestKind>, from: Millis): BookingLoadResult => {
+  const possible: Record<string, number> = {}
   const earned: Record<string, number> = {}
   const reasons: Record<string, number> = {}
-  const add = (sums: Record<string, number>, key: string, worth: number): void => { sums[key] = (sums[key] ?? 0) + worth }
+  const add = (sums: Record<string, number>, key: string, amount: number): void => { sums[key] = (sums[key] ?? 0) + amount }
   for (const row of entry.outcomes) {
     const kind = kindOf.get(row.exchange)
     if (kind === undefined || row.sentAt < from) continue
-    const part = row.kind !== 'served' ? 0 : row.endedAt - row.sentAt <= kind.targetMs ? 1 : LATE_PART
-    add(reasons, row.kind === 'served' ? (part === 1 ? 'in time' : 'late') : row.reason, 1)
+    const score = row.kind !== 'served' ? 0 : row.endedAt - row.sentAt <= kind.targetMs ? 1 : LATE_VALUE_FACTOR
+    add(reasons, row.kind === 'served' ? (score === 1 ? 'in time' : 'late') : row.reason, 1)
     for (const key of ['all', kind.name, `region ${row.host.slice(0, 1)}`]) {
-      add(owed, key, kind.worth)
-      add(earned, key, kind.worth * part)
+      add(possible, key, kind.value)
+      add(earned, key, kind.value * score)
     }
   }
-  const partOf = (key: string): number => Math.round(1_000 * (earned[key] ?? 0) / (owed[key] ?? 1)) / 1_000
+  const scoreOf = (key: string): number => Math.round(1_000 * (earned[key] ?? 0) / (possible[key] ?? 1)) / 1_000
   return {
-    all: partOf('all'),
-    worstRegion: Math.min(...REGIONS.map(region => partOf(`region ${region}`))),
-    byKind: Object.fromEntries(KINDS.map(kind => [kind.name, partOf(kind.name)])),
+    all: scoreOf('all'),
+    worstRegion: Math.min(...REGIONS.map(region => scoreOf(`region ${region}`))),
+    byKind: Object.fromEntries(REQUEST_KINDS.map(kind => [kind.name, scoreOf(kind.name)])),
     reasons
   }
 }
--- a/src/stand-ins/configurationBuilder.ts
+++ b/src/stand-ins/configurationBuilder.ts
@@ -1,4 +1,4 @@
-/** Builds configurations for tests and the bench. */
+/** Builds configurations for tests and benchmarks. */
 
 import { toId } from '../core/id.js'
 import type { KeyDigest } from '../core/id.js'
@@ -10,25 +10,26 @@
 import type { Command, ConfigurationSnapshot } from '../configuration/types.js'
 import type { HostLocation } from './virtualTopology.js'
 
-/** The digest under which a test's workspace has its key. */
+/** Returns the key digest that the builder gives to a workspace. */
 export const keyDigestOf = (workspace: string): KeyDigest => toId<KeyDigest>(`key-${workspace}`)
 
-/** Ordinary terms of a profile for tests and the bench. */
+/** Default terms of a steering profile for tests and benchmarks. */
 export const defaultTerms: ProfileTerms = { shiftCap: 0.2, shiftWindowMs: 60_000, allowedRegions: [], drainMs: 10_000, whenCutOff: 'serve', staleAfterMs: 5_000 }
 
-/** Builds a configuration by applying commands as operators would give them. */
+/** Builds a configuration by applying operator commands. */
 export class ConfigurationBuilder {
   readonly configuration: Configuration = createConfiguration()
-  #count = 0
+  #commandCount = 0
 
+  /** Applies a command; throws if it is rejected. */
   run (command: Command): this {
-    this.#count += 1
+    this.#commandCount += 1
     const operator = command.kind === 'approve-profile' ? 'legal' : 'operator'
     const outcome = applyChange(this.configuration, {
       index: this.configuration.index + 1,
-      envelope: { requestId: toId(`setup-${this.#count}`), operator: toId(operator), roles: ['draft', 'approve', 'assign'], command }
+      envelope: { requestId: toId(`setup-${this.#commandCount}`), operator: toId(operator), roles: ['draft', 'approve', 'assign'], command }
     })
-    if (outcome?.tag === 'error') throw new Error(`${command.kind}: ${JSON.stringify(outcome.error)}`)
+    if (outcome?.tag === 'error') throw new Error(`command ${command.kind} rejected: ${JSON.stringify(outcome.error)}`)
     return this
   }
 
@@ -41,16 +42,16 @@
     return this.run({ kind: 'put-service', service: toId(service), expectedVersion: 0, profile: toId('careful'), profileVersion: 1, timeoutMs, openPaths: ['/public'] })
   }
 
-  /** A workspace whose key's digest is its own name. */
+  /** Adds a workspace with a key whose digest is derived from its name. */
   workspace (workspace: string, rate: number, burst: number, weight = 1): this {
     return this.run({ kind: 'put-workspace', workspace: toId(workspace), expectedVersion: 0, rate, burst, weight })
       .run({ kind: 'give-key', digest: keyDigestOf(workspace), workspace: toId(workspace) })
   }
 
-  hosts (places: readonly HostLocation[]): this {
-    const parts = Math.floor(ALLOWANCE_PARTS / places.length)
-    for (const place of places) {
-      this.run({ kind: 'register-host', entryHost: { host: toId(place.host), region: toId(place.region), zone: toId(place.zone), site: toId(place.zone), parts } })
+  hosts (locations: readonly HostLocation[]): this {
+    const parts = Math.floor(ALLOWANCE_PARTS / locations.length)
+    for (const location of locations) {
+      this.run({ kind: 'register-host', entryHost: { host: toId(location.host), region: toId(location.region), zone: toId(location.zone), site: toId(location.zone), parts } })
     }
     return this
   }
--- a/src/stand-ins/fleet.spec.ts
+++ b/src/stand-ins/fleet.spec.ts
@@ -12,16 +12,16 @@
 import { Fleet } from './fleet.js'
 import type { BackendStatistics } from './backendServer.js'
 
-// Real processes and sockets. Waits are for events, with deadlines that only end a run that hangs.
-const HANG_MS = 40_000
+// These tests use real processes and sockets. They wait for conditions; the timeout only ends a run that hangs.
+const WAIT_TIMEOUT_MS = 40_000
 
 const terms = { shiftCap: 0.5, shiftWindowMs: 60_000, allowedRegions: [], drainMs: 10_000, whenCutOff: 'serve', staleAfterMs: 10_000 }
 const sleep = async (ms: number): Promise<void> => { await new Promise(resolve => setTimeout(resolve, ms)) }
 
-const until = async (what: string, isTrue: () => Promise<boolean> | boolean): Promise<void> => {
-  const deadline = Date.now() + HANG_MS
+const waitUntil = async (condition: string, isTrue: () => Promise<boolean> | boolean): Promise<void> => {
+  const deadline = Date.now() + WAIT_TIMEOUT_MS
   while (!await isTrue()) {
-    if (Date.now() > deadline) throw new Error(`never came about: ${what}`)
+    if (Date.now() > deadline) throw new Error(`timed out waiting until ${condition}`)
     await sleep(50)
   }
 }
@@ -39,20 +39,20 @@
     writeFileSync(join(folder, name), content)
     return join(folder, name)
   }
-  const holder = createServer()
-  await new Promise<void>(resolve => { holder.listen(0, '127.0.0.1', resolve) })
-  t.teardown(() => { holder.close() })
-  const bound = holder.address()
-  const taken = typeof bound === 'object' && bound !== null ? bound.port : 0
+  const portHolder = createServer()
+  await new Promise<void>(resolve => { portHolder.listen(0, '127.0.0.1', resolve) })
+  t.teardown(() => { portHolder.close() })
+  const bound = portHolder.address()
+  const takenPort = typeof bound === 'object' && bound !== null ? bound.port : 0
   const entry = {
-    role: 'entry', host: 'e', region: 'r', zone: 'z', link: { address: '127.0.0.1', port: taken }, callers: { address: '127.0.0.1', port: 0 }, announcements: { address: '127.0.0.1', port: 0 }, announcementKeyFile: 'announcement.key', fleetKeyFile: 'fleet.key'
+    role: 'entry', host: 'e', region: 'r', zone: 'z', link: { address: '127.0.0.1', port: takenPort }, callers: { address: '127.0.0.1', port: 0 }, announcements: { address: '127.0.0.1', port: 0 }, announcementKeyFile: 'announcement.key', fleetKeyFile: 'fleet.key'
   }
   write('announcement.key', 'announcement-secret-1234\n')
   const unreadable = write('unreadable.yaml', stringify({ ...entry, fleetKeyFile: 'absent.key' }))
   write('fleet.key', 'fleet-secret-12345678901\n')
   const portTaken = write('taken.yaml', stringify(entry))
   const bad = write('bad.yaml', stringify({ ...entry, colour: 'red' }))
-  const clean = (result: { code: number | null, error: string }): string => `${result.code ?? 'none'}: ${result.error.replaceAll(folder, 'FOLDER').replaceAll(String(taken), 'PORT')}`
+  const normalize = (result: { code: number | null, error: string }): string => `${result.code ?? 'none'}: ${result.error.replaceAll(folder, 'FOLDER').replaceAll(String(takenPort), 'PORT')}`
   const cases: Record<string, readonly string[]> = {
     noCommand: [],
     unknownCommand: ['fly'],
@@ -70,7 +70,7 @@
     help: ['run', '--help']
   }
   const results: Record<string, string> = {}
-  for (const [name, args] of Object.entries(cases)) results[name] = clean(await runBinary(args))
+  for (const [name, args] of Object.entries(cases)) results[name] = normalize(await runBinary(args))
   t.matchSnapshot(results)
 })
 
@@ -79,22 +79,22 @@
     zones: [{ region: 'north', zone: 'north-a' }, { region: 'middle', zone: 'middle-a' }, { region: 'south', zone: 'south-a' }],
     entryHostsPerZone: 1,
     controlZones: ['north-a', 'middle-a', 'south-a'],
-    records: true,
+    recordsTicks: true,
     services: [{ service: 'lookup', serversPerZone: 2, slots: 6, workMs: 5 }, { service: 'deposit', serversPerZone: 2, slots: 6, workMs: 5 }]
   })
   t.teardown(async () => { await fleet.stop() })
   await fleet.start()
   await fleet.configure('careful', terms, 8_000)
   const key = await fleet.addWorkspace('w', 500, 250)
-  await fleet.ready(HANG_MS)
+  await fleet.waitUntilReady(WAIT_TIMEOUT_MS)
   const status = async (): Promise<{ leader: string | null, isCurrent: boolean, index: number, inForce: { hosts: number }, backendServers: Array<{ state: string }> }> => await fleet.call('operator', 'GET', '/v1/status') as never
-  await until('all servers announced', async () => (await status()).backendServers.filter(row => row.state === 'up').length === 12)
+  await waitUntil('all servers are announced', async () => (await status()).backendServers.filter(row => row.state === 'up').length === 12)
   const outcomes: CallerOutcome[] = []
   const caller = new Caller('w', key, () => fleet.entryHosts.map(host => host.addresses.callers ?? ''))
-  // New homes of records vouch only for tickets that were issued a clock skew after they became homes.
-  await until('deposits are served', async () => (await caller.send({ service: 'deposit', method: 'POST', bytes: 10 })).kind === 'served')
+  // New record hosts accept only tickets that were issued at least the maximum clock skew after they became record hosts.
+  await waitUntil('deposits are served', async () => (await caller.send({ service: 'deposit', method: 'POST', bytes: 10 })).kind === 'served')
   const traffic = { isOn: true }
-  const sending = (async () => {
+  const trafficDone = (async () => {
     const pending: Array<Promise<unknown>> = []
     for (let n = 0; traffic.isOn; n += 1) {
       pending.push(caller.send(n % 3 === 0 ? { service: 'deposit', method: 'POST', bytes: 100 } : { service: 'lookup', method: 'GET', bytes: 0 }).then(outcome => { outcomes.push(outcome) }))
@@ -104,15 +104,15 @@
   })()
 
   await t.test('a planned stop of an entry host cuts no request', async t => {
-    const leaving = fleet.entryHosts[0]
-    leaving?.child.kill('SIGTERM')
-    await until('the host has stopped', () => leaving?.child.exitCode !== null)
-    t.equal(leaving?.child.exitCode, 0)
+    const stoppedHost = fleet.entryHosts[0]
+    stoppedHost?.child.kill('SIGTERM')
+    await waitUntil('the host has stopped', () => stoppedHost?.child.exitCode !== null)
+    t.equal(stoppedHost?.child.exitCode, 0)
     t.same(outcomes.filter(row => row.kind !== 'served').map(row => `${row.service} ${row.kind} ${row.reason}`), [])
-    const replayed = await runBinary(['replay', fleet.traceFile(leaving?.name ?? '')])
+    const replayed = await runBinary(['replay', fleet.traceFile(stoppedHost?.name ?? '')])
     t.equal(replayed.code, 0, 'what it recorded replays to the same outbox')
-    fleet.restartEntry(leaving?.name ?? '')
-    await until('it is back with the newest configuration', async () => (await status()).inForce.hosts === 3)
+    fleet.restartEntry(stoppedHost?.name ?? '')
+    await waitUntil('it has restarted with the newest configuration', async () => (await status()).inForce.hosts === 3)
   })
 
   await t.test('the leading control host is killed: commands go on, nothing accepted is lost', async t => {
@@ -121,7 +121,7 @@
     leader?.child.kill('SIGKILL')
     await fleet.addWorkspace('after-the-kill', 1, 1)
     fleet.restartControl(leader?.name ?? '')
-    await until('every host has it', async () => {
+    await waitUntil('every host has the new configuration', async () => {
       const now = await status()
       return now.isCurrent && now.index > before.index && now.inForce.hosts === 3
     })
@@ -136,14 +136,14 @@
       return members.find(row => row.host === frozen?.name)?.state
     }
     frozen?.child.kill('SIGSTOP')
-    await until('it is taken for dead', async () => await stateOf() === 'dead')
+    await waitUntil('it is considered dead', async () => await stateOf() === 'dead')
     frozen?.child.kill('SIGCONT')
-    await until('it is alive again', async () => await stateOf() === 'alive')
+    await waitUntil('it is alive again', async () => await stateOf() === 'alive')
     t.pass('it refuted its death')
   })
 
   traffic.isOn = false
-  await sending
+  await trafficDone
   await caller.close()
   const statistics = await Promise.all(fleet.backendServers.map(async server => {
     const answer = await request(`http://${server.addresses.backend ?? ''}/stand-in/statistics`)
@@ -156,6 +156,6 @@
   t.equal(doubledRuns(runs), 0, 'no deposit ran twice')
   t.equal(outcomes.filter(row => row.kind === 'wrong-answer').length, 0, 'every answer was the caller\'s own')
   t.equal(statistics.reduce((sum, row) => sum + row.keysSeen, 0), 0, 'no server saw a key')
-  const untrue = outcomes.filter(row => row.ran === 'not-run' && row.idempotencyKey !== null && (runs.get(row.idempotencyKey) ?? 0) > 0)
-  t.same(untrue, [], 'a refusal that says not-run is true')
+  const wronglyNotRun = outcomes.filter(row => row.ran === 'not-run' && row.idempotencyKey !== null && (runs.get(row.idempotencyKey) ?? 0) > 0)
+  t.same(wronglyNotRun, [], 'a refusal that says not-run is true')
 })
--- a/src/stand-ins/fleet.ts
+++ b/src/stand-ins/fleet.ts
@@ -1,4 +1,4 @@
-/** Starts a small fleet of separate processes on loopback addresses, for the demo, the bench and tests. */
+/** Starts a small fleet of separate processes on loopback addresses, for the demo, benchmarks and tests. */
 
 import { spawn } from 'node:child_process'
 import type { ChildProcess } from 'node:child_process'
@@ -12,10 +12,10 @@
 import type { CallTarget } from '../command-line/operatorClient.js'
 import { ALLOWANCE_PARTS } from '../configuration/types.js'
 
-/** An availability zone of the small fleet. */
+/** An availability zone of the fleet. */
 export interface FleetZone { readonly region: string, readonly zone: string }
 
-/** A service with the stand-ins that serve it in each zone. */
+/** A service with the fake backend servers that serve it in each zone. */
 export interface FleetService {
   readonly service: string
   readonly serversPerZone: number
@@ -23,19 +23,19 @@
   readonly workMs: number
 }
 
-/** What a small fleet is made of. */
+/** Hosts, services and policies of the fleet. */
 export interface FleetOptions {
   readonly zones: readonly FleetZone[]
   readonly entryHostsPerZone: number
-  /** Zones that have a control host. */
+  /** Zones with a control host. */
   readonly controlZones: readonly string[]
   readonly services: readonly FleetService[]
   readonly policies?: Readonly<Record<string, string>>
   /** Whether entry hosts record their ticks for replay. */
-  readonly records?: boolean
+  readonly recordsTicks?: boolean
 }
 
-/** A process of the fleet. */
+/** A process of the fleet. `addresses` holds HOST:PORT by listener name. */
 export interface FleetProcess {
   readonly name: string
   readonly zone: string
@@ -47,7 +47,7 @@
 type OperatorName = typeof OPERATOR_NAMES[number]
 const ROLES: Readonly<Record<OperatorName, readonly string[]>> = { drafter: ['draft'], legal: ['approve'], operator: ['assign'] }
 
-const secret = (): string => randomBytes(24).toString('base64url')
+const createSecret = (): string => randomBytes(24).toString('base64url')
 const sha256 = (text: string): string => createHash('sha256').update(text).digest('hex')
 
 const reservePort = async (address: string): Promise<number> => await new Promise((resolve, reject) => {
@@ -60,61 +60,62 @@
   })
 })
 
-/** Calls by which a fleet that starts looks for its leader. */
-const START_ATTEMPTS = 100
-const START_PAUSE_MS = 200
+/** Maximum number of status requests that are sent until a leader is elected. */
+const LEADER_POLL_LIMIT = 100
+const LEADER_POLL_INTERVAL_MS = 200
 
-interface Place { readonly address: string, readonly ports: Record<string, number> }
+interface HostPorts { readonly address: string, readonly ports: Record<string, number> }
 
-/** A fleet whose processes this one has started, and only those it ends. */
+/** Starts, configures and stops a fleet of child processes. Stops only processes that it has started. */
 export class Fleet {
   readonly folder = mkdtempSync(join(tmpdir(), 'rhubarbseam-'))
   readonly entryHosts: FleetProcess[] = []
   readonly controlHosts: FleetProcess[] = []
   readonly backendServers: FleetProcess[] = []
-  readonly #tokens: Record<OperatorName, string> = { drafter: secret(), legal: secret(), operator: secret() }
-  readonly #announcementToken = secret()
+  readonly #tokens: Record<OperatorName, string> = { drafter: createSecret(), legal: createSecret(), operator: createSecret() }
+  readonly #announcementToken = createSecret()
   readonly #settings = new Map<string, string>()
 
   constructor (readonly options: FleetOptions, readonly dist = resolve('dist')) {}
 
-  /** Starts every process and waits for a leader; the caller waits for `ready`. */
+  /** Starts all processes and waits for a leader. Call `waitUntilReady` after `configure`. */
   async start (): Promise<void> {
     this.#writeSecrets()
-    const controlPlaces = await this.#places(this.options.controlZones.map(zone => `control-${zone}`), ['link', 'operators'], 1)
+    const controlPorts = await this.#reservePorts(this.options.controlZones.map(zone => `control-${zone}`), ['link', 'operators'], 1)
     const entryNames = this.options.zones.flatMap(({ zone }) => Array.from({ length: this.options.entryHostsPerZone }, (_, n) => `entry-${zone}-${n + 1}`))
-    const entryPlaces = await this.#places(entryNames, ['link', 'callers', 'announcements', 'metrics'], 2)
-    const seeds = [...controlPlaces].map(([host, place]) => ({ host, address: place.address, port: place.ports.link }))
-    for (const [host, place] of controlPlaces) this.#startControl(host, place, seeds)
-    for (const [host, place] of entryPlaces) this.#startEntry(host, place, seeds)
+    const entryPorts = await this.#reservePorts(entryNames, ['link', 'callers', 'announcements', 'metrics'], 2)
+    const seeds = [...controlPorts].map(([host, hostPorts]) => ({ host, address: hostPorts.address, port: hostPorts.ports.link }))
+    for (const [host, hostPorts] of controlPorts) this.#startControl(host, hostPorts, seeds)
+    for (const [host, hostPorts] of entryPorts) this.#startEntry(host, hostPorts, seeds)
     await this.#startBackends()
-    await this.#untilLed()
+    await this.#waitForLeader()
   }
 
-  // On a machine that is busy with other things the processes take longer to start than an operator's call goes on trying.
-  async #untilLed (): Promise<void> {
-    for (let attempt = 0; attempt < START_ATTEMPTS; attempt += 1) {
-      const answer = await callControl(this.target('operator'), 'GET', '/v1/status', undefined, secret())
+  // On a busy machine the processes can take longer to start than one operator call keeps retrying.
+  async #waitForLeader (): Promise<void> {
+    for (let attempt = 0; attempt < LEADER_POLL_LIMIT; attempt += 1) {
+      const answer = await callControl(this.target('operator'), 'GET', '/v1/status', undefined, createSecret())
       if (answer.tag === 'ok' && (answer.value as { isCurrent: boolean }).isCurrent) return
-      await new Promise(resolve => setTimeout(resolve, START_PAUSE_MS))
+      await new Promise(resolve => setTimeout(resolve, LEADER_POLL_INTERVAL_MS))
     }
   }
 
-  /** Calls the control hosts as one of the operators. */
-  async call (operator: OperatorName, method: 'GET' | 'POST', path: string, body?: unknown, requestId: string = secret()): Promise<unknown> {
+  /** Calls the control hosts as the given operator; throws if the call fails. */
+  async call (operator: OperatorName, method: 'GET' | 'POST', path: string, body?: unknown, requestId: string = createSecret()): Promise<unknown> {
     const answer = await callControl(this.target(operator), method, path, body, requestId)
-    if (answer.tag === 'error') throw new Error(`${path}: ${JSON.stringify(answer.error)}`)
+    if (answer.tag === 'error') throw new Error(`call of ${path} failed: ${JSON.stringify(answer.error)}`)
     return answer.value
   }
 
-  /** Where and as whom an operator calls. */
+  /** Returns the control hosts' addresses and the token of an operator. */
   target (operator: OperatorName): CallTarget {
     return { controls: this.controlHosts.map(host => host.addresses.operators ?? ''), token: this.#tokens[operator] }
   }
 
+  /** Sends a command as the given operator; throws if it is rejected. */
   async command (operator: OperatorName, command: unknown): Promise<unknown> { return await this.call(operator, 'POST', '/v1/commands', command) }
 
-  /** Registers the entry hosts and one approved profile, with every service under it. */
+  /** Creates and approves a steering profile, then registers the entry hosts and all services under this profile. */
   async configure (profile: string, terms: unknown, timeoutMs: number): Promise<void> {
     await this.command('drafter', { kind: 'draft-profile', profile, expectedVersion: 0, terms })
     await this.command('legal', { kind: 'approve-profile', profile, version: 1 })
@@ -127,9 +128,9 @@
     }
   }
 
-  /** Creates a workspace and gives it a new key, which is returned. */
+  /** Creates a workspace with a new key, and returns the key. */
   async addWorkspace (workspace: string, rate: number, burst: number, weight = 1): Promise<string> {
-    const key = secret()
+    const key = createSecret()
     await this.command('operator', { kind: 'put-workspace', workspace, expectedVersion: 0, rate, burst, weight })
     await this.command('operator', { kind: 'give-key', digest: sha256(key), workspace })
     return key
@@ -137,42 +138,42 @@
 
   async withdrawKey (key: string): Promise<void> { await this.command('operator', { kind: 'withdraw-key', digest: sha256(key) }) }
 
-  /** Waits until every entry host has the newest configuration in force. */
-  async ready (timeoutMs: number): Promise<void> {
+  /** Waits until the latest configuration is in force at every entry host; throws after `timeoutMs`. */
+  async waitUntilReady (timeoutMs: number): Promise<void> {
     const deadline = Date.now() + timeoutMs
     for (;;) {
       const status = await this.call('operator', 'GET', '/v1/status') as { inForce: { hosts: number }, backendServers: unknown[], isCurrent: boolean }
       if (status.isCurrent && status.inForce.hosts >= this.entryHosts.length) return
-      if (Date.now() > deadline) throw new Error(`the fleet is not ready: ${JSON.stringify(status.inForce)}`)
+      if (Date.now() > deadline) throw new Error(`timed out waiting for the configuration to be in force at all entry hosts: ${JSON.stringify(status.inForce)}`)
       await new Promise(resolve => setTimeout(resolve, 100))
     }
   }
 
-  /** Starts a process again with the settings it had. */
+  /** Restarts an entry host with its previous settings. */
   restartEntry (name: string): void {
     const position = this.entryHosts.findIndex(host => host.name === name)
-    const old = this.entryHosts[position]
+    const previous = this.entryHosts[position]
     const settings = this.#settings.get(name)
-    if (old === undefined || settings === undefined) throw new Error(`no entry host ${name}`)
-    this.entryHosts[position] = { ...old, child: this.#spawn(name, ['rhubarbseam.cjs', 'run', '--config', settings]) }
+    if (previous === undefined || settings === undefined) throw new Error(`fleet has no entry host ${name}`)
+    this.entryHosts[position] = { ...previous, child: this.#spawn(name, ['rhubarbseam.cjs', 'run', '--config', settings]) }
   }
 
-  /** Starts a control host again, on the disk it had. */
+  /** Restarts a control host with its previous settings and data folder. */
   restartControl (name: string): void {
     const position = this.controlHosts.findIndex(host => host.name === name)
-    const old = this.controlHosts[position]
+    const previous = this.controlHosts[position]
     const settings = this.#settings.get(name)
-    if (old === undefined || settings === undefined) throw new Error(`no control host ${name}`)
-    this.controlHosts[position] = { ...old, child: this.#spawn(name, ['rhubarbseam.cjs', 'run', '--config', settings]) }
+    if (previous === undefined || settings === undefined) throw new Error(`fleet has no control host ${name}`)
+    this.controlHosts[position] = { ...previous, child: this.#spawn(name, ['rhubarbseam.cjs', 'run', '--config', settings]) }
   }
 
-  /** The trace that an entry host records. */
+  /** Path of the file in which an entry host records its ticks. */
   traceFile (name: string): string { return join(this.folder, name, 'trace') }
 
-  /** The data folder of a control host. */
+  /** Path of the data folder of a control host. */
   dataFolder (name: string): string { return join(this.folder, name, 'data') }
 
-  /** Ends every process that this fleet has started. */
+  /** Kills all processes of the fleet and removes its folder. */
   async stop (): Promise<void> {
     const all = [...this.entryHosts, ...this.backendServers, ...this.controlHosts]
     await Promise.all(all.map(async ({ child }) => {
@@ -187,21 +188,21 @@
   #regionOf (zone: string): string { return this.options.zones.find(row => row.zone === zone)?.region ?? zone }
 
   #writeSecrets (): void {
-    writeFileSync(join(this.folder, 'fleet.key'), `${secret()}\n`)
+    writeFileSync(join(this.folder, 'fleet.key'), `${createSecret()}\n`)
     writeFileSync(join(this.folder, 'announcement.key'), `${this.#announcementToken}\n`)
     const operators = OPERATOR_NAMES.map(name => ({ name, roles: ROLES[name], tokenDigest: sha256(this.#tokens[name]) }))
     writeFileSync(join(this.folder, 'operators.yaml'), stringify({ operators }))
   }
 
-  async #places (names: readonly string[], uses: readonly string[], group: number): Promise<Map<string, Place>> {
-    const places = new Map<string, Place>()
+  async #reservePorts (names: readonly string[], listeners: readonly string[], subnet: number): Promise<Map<string, HostPorts>> {
+    const portsByHost = new Map<string, HostPorts>()
     for (const [number, name] of names.entries()) {
-      const address = `127.${group}.${Math.floor(number / 200)}.${number % 200 + 10}`
+      const address = `127.${subnet}.${Math.floor(number / 200)}.${number % 200 + 10}`
       const ports: Record<string, number> = {}
-      for (const use of uses) ports[use] = await reservePort(address)
-      places.set(name, { address, ports })
+      for (const listener of listeners) ports[listener] = await reservePort(address)
+      portsByHost.set(name, { address, ports })
     }
-    return places
+    return portsByHost
   }
 
   #zoneOf (name: string): string { return this.options.zones.find(row => name.includes(`-${row.zone}`))?.zone ?? '' }
@@ -214,25 +215,25 @@
     return path
   }
 
-  #startControl (host: string, place: Place, seeds: ReadonlyArray<{ host: string, address: string, port: number | undefined }>): void {
+  #startControl (host: string, hostPorts: HostPorts, seeds: ReadonlyArray<{ host: string, address: string, port: number | undefined }>): void {
     const zone = this.#zoneOf(host)
-    const at = (use: string): { address: string, port: number } => ({ address: place.address, port: place.ports[use] ?? 0 })
+    const listenAt = (listener: string): { address: string, port: number } => ({ address: hostPorts.address, port: hostPorts.ports[listener] ?? 0 })
     const path = this.#writeSettings(host, {
-      role: 'control', host, region: this.#regionOf(zone), zone, link: at('link'), operators: at('operators'), operatorsFile: '../operators.yaml', fleetKeyFile: '../fleet.key', dataFolder: 'data', founders: seeds, seeds
+      role: 'control', host, region: this.#regionOf(zone), zone, link: listenAt('link'), operators: listenAt('operators'), operatorsFile: '../operators.yaml', fleetKeyFile: '../fleet.key', dataFolder: 'data', founders: seeds, seeds
     })
     const founding = this.#spawn(host, ['rhubarbseam.cjs', 'found', '--config', path])
-    const process: FleetProcess = { name: host, zone, child: founding, addresses: { operators: `${place.address}:${place.ports.operators ?? 0}` } }
+    const process: FleetProcess = { name: host, zone, child: founding, addresses: { operators: `${hostPorts.address}:${hostPorts.ports.operators ?? 0}` } }
     this.controlHosts.push(process)
     founding.once('exit', () => { this.restartControl(host) })
   }
 
-  #startEntry (host: string, place: Place, seeds: unknown): void {
+  #startEntry (host: string, hostPorts: HostPorts, seeds: unknown): void {
     const zone = this.#zoneOf(host)
-    const at = (use: string): { address: string, port: number } => ({ address: place.address, port: place.ports[use] ?? 0 })
+    const listenAt = (listener: string): { address: string, port: number } => ({ address: hostPorts.address, port: hostPorts.ports[listener] ?? 0 })
     const path = this.#writeSettings(host, {
-      role: 'entry', host, region: this.#regionOf(zone), zone, link: at('link'), callers: at('callers'), announcements: at('announcements'), metrics: at('metrics'), announcementKeyFile: '../announcement.key', fleetKeyFile: '../fleet.key', seeds, policies: this.options.policies ?? {}, ...(this.options.records === true ? { recordFile: 'trace' } : {})
+      role: 'entry', host, region: this.#regionOf(zone), zone, link: listenAt('link'), callers: listenAt('callers'), announcements: listenAt('announcements'), metrics: listenAt('metrics'), announcementKeyFile: '../announcement.key', fleetKeyFile: '../fleet.key', seeds, policies: this.options.policies ?? {}, ...(this.options.recordsTicks === true ? { recordFile: 'trace' } : {})
     })
-    const addresses = Object.fromEntries(Object.entries(place.ports).map(([use, port]) => [use, `${place.address}:${port}`]))
+    const addresses = Object.fromEntries(Object.entries(hostPorts.ports).map(([listener, port]) => [listener, `${hostPorts.address}:${port}`]))
     this.entryHosts.push({ name: host, zone, addresses, child: this.#spawn(host, ['rhubarbseam.cjs', 'run', '--config', path]) })
   }
 
--- a/src/stand-ins/localEntry.ts
+++ b/src/stand-ins/localEntry.ts
@@ -1,4 +1,4 @@
-/** An entry host's world behind its real front ends, in this process and without links; for tests of the edge and the bench. */
+/** Runs an entry host with its real front ends in this process, without links to other hosts, for tests and benchmarks. */
 
 import { toId } from '../core/id.js'
 import { Runner, monotonicClock } from '../core/runner.js'
@@ -14,13 +14,14 @@
 import { Metrics } from '../observability/metrics.js'
 import type { Tracing } from '../observability/tracing.js'
 
-/** What a local entry host starts from. */
+/** Options of a local entry host. */
 export interface LocalEntryOptions {
   readonly snapshot: ConfigurationSnapshot
   readonly policies?: EntryPolicies
   readonly blocks?: BlockTable
   readonly tracing?: Tracing
   readonly announcementToken?: string
+  /** Maximum size of a request body, in bytes. */
   readonly bodyBytes?: number
 }
 
@@ -36,10 +37,10 @@
 
 const ADDRESS = '127.0.0.1'
 
-/** The host's name in its own tables. */
+/** Host name of the local entry host. */
 export const LOCAL_HOST = 'n1-1'
 
-/** Starts an entry host that has loaded its configuration and was vouched for. */
+/** Starts an entry host with a loaded and confirmed configuration. */
 export const startLocalEntry = async (options: LocalEntryOptions): Promise<LocalEntry> => {
   const now = monotonicClock()
   const world = createEntryWorld({
--- a/src/stand-ins/virtualControl.ts
+++ b/src/stand-ins/virtualControl.ts
@@ -1,4 +1,4 @@
-/** Control hosts in a virtual fleet, each with a disk that loses what was not synced when its host is killed. */
+/** Control hosts of a virtual fleet. Each has a simulated disk that loses unsynced writes when its host is killed. */
 
 import { toId } from '../core/id.js'
 import type { HostId } from '../core/id.js'
@@ -13,19 +13,20 @@
 import type { CallId, DiskRecord, Group, LogMessageSent, ProposalAnswered, ReadAnswered, Replica, ReplicaId } from '../replicated-log/types.js'
 import type { VirtualFleet, VirtualNode } from './virtualFleet.js'
 
-/** A disk in memory. */
+/** A simulated disk that holds the log of one replica. */
 export interface VirtualDisk {
   replica: ReplicaId
   records: DiskRecord[]
-  /** Rows that wait for a sync, in order. */
+  /** Messages that must not be sent before the pending writes are synced, in order. */
   heldMessages: LogMessageSent[]
   unsynced: DiskRecord[]
-  /** Raised with each start, so that a sync of an earlier life changes nothing. */
+  /** Incremented at each start and kill, so that a sync that was scheduled before has no effect. */
   generation: number
 }
 
-/** How the control hosts of a fleet begin. */
+/** Options of the control hosts of a virtual fleet. */
 export interface VirtualControlOptions {
+  /** Number of hosts that found the group; all if absent. */
   readonly founders?: number
   readonly admission?: () => ReplicaAdmission
 }
@@ -43,19 +44,19 @@
   state: 'alive'
 })
 
-/** The control hosts of a virtual fleet. */
+/** Starts, kills and calls the control hosts of a virtual fleet. */
 export class VirtualControl {
-  /** Time that a sync takes, in milliseconds. */
+  /** Duration of a disk sync, in milliseconds. */
   syncMs = 2
   readonly disks = new Map<HostId, VirtualDisk>()
   readonly proposalAnswers = new Map<CallId, ProposalAnswered>()
   readonly readAnswers = new Map<CallId, ReadAnswered>()
   readonly hosts: readonly HostId[]
   readonly #founders: readonly Replica[]
-  #calls = 0
-  #lives = 0
+  #callCount = 0
+  #startCount = 0
 
-  /** The first names found the group, as many as the options say; the others join it. */
+  /** The first hosts, as many as `options.founders`, found the group; the others join it. */
   constructor (readonly fleet: VirtualFleet, names: readonly string[], readonly options: VirtualControlOptions = {}) {
     this.hosts = names.map(name => toId<HostId>(name))
     const founding = this.hosts.slice(0, options.founders ?? names.length)
@@ -68,22 +69,22 @@
     for (const host of this.hosts.slice(founding.length)) this.join(host)
   }
 
-  /** Starts a host on an empty disk. */
+  /** Starts a host with an empty disk, as a replica that is not in the group yet. */
   join (host: HostId): void {
     this.disks.set(host, { replica: toId<ReplicaId>(`${host}#${this.fleet.random.below(1 << 30)}`), records: [], heldMessages: [], unsynced: [], generation: 0 })
     this.start(host)
   }
 
-  /** Starts a host on what its disk holds. */
+  /** Starts a host from the contents of its disk. */
   start (host: HostId): void {
     const disk = this.#disk(host)
     disk.generation += 1
     disk.heldMessages = []
     disk.unsynced = []
-    this.#lives += 1
+    this.#startCount += 1
     const seeds = this.#founders.filter(founder => founder.host !== host).map(founder => ({ host: founder.host, link: founder.link }))
     const world = createControlWorld({
-      self: createMember(host, host, this.#lives),
+      self: createMember(host, host, this.#startCount),
       seeds,
       image: buildImage(disk.replica, disk.records),
       admission: this.options.admission?.(),
@@ -93,58 +94,58 @@
     this.fleet.add(host, world, (node, row: ControlOutput) => { this.#deliver(node, disk, row) })
   }
 
-  /** Kills a host: what was not synced is gone. */
+  /** Kills a host; its unsynced writes are lost. */
   kill (host: HostId): void {
     const node = this.fleet.nodes.get(host)
     if (node !== undefined) node.isDown = true
     this.#disk(host).generation += 1
   }
 
-  /** Loses a killed host's disk: it will start as another replica that nobody has admitted. */
+  /** Erases the disk of a killed host. The host then starts as a new replica that is not admitted to the group. */
   wipeDisk (host: HostId): void {
     const disk = this.#disk(host)
     disk.records = []
     disk.replica = toId<ReplicaId>(`${host}#${this.fleet.random.below(1 << 30)}`)
   }
 
-  /** Proposes a command at a host; the answer comes into `answers`. */
+  /** Proposes a command at a host; the answer is stored in `proposalAnswers`. */
   propose (host: HostId, envelope: CommandEnvelope): CallId {
-    this.#calls += 1
-    const call = toId<CallId>(`call-${this.#calls}`)
+    this.#callCount += 1
+    const call = toId<CallId>(`call-${this.#callCount}`)
     this.fleet.push(host, { kind: 'propose', call, envelope })
     return call
   }
 
-  /** Asks a host for a read that a quorum vouches for; the answer comes into `reads`. */
+  /** Requests a quorum read at a host; the answer is stored in `readAnswers`. */
   read (host: HostId): CallId {
-    this.#calls += 1
-    const call = toId<CallId>(`call-${this.#calls}`)
+    this.#callCount += 1
+    const call = toId<CallId>(`call-${this.#callCount}`)
     this.fleet.push(host, { kind: 'read', call })
     return call
   }
 
-  /** Asks a host to admit the replica of another one. */
-  admit (host: HostId, joiner: HostId): CallId {
-    this.#calls += 1
-    const call = toId<CallId>(`call-${this.#calls}`)
-    this.fleet.push(host, { kind: 'admit', call, host: joiner })
+  /** Requests that a host admit the replica of another host to the group; the answer is stored in `proposalAnswers`. */
+  admit (host: HostId, joiningHost: HostId): CallId {
+    this.#callCount += 1
+    const call = toId<CallId>(`call-${this.#callCount}`)
+    this.fleet.push(host, { kind: 'admit', call, host: joiningHost })
     return call
   }
 
   tables (host: HostId): ControlTables {
     const node = this.fleet.nodes.get(host)
-    if (node === undefined) throw new Error(`no host ${host}`)
+    if (node === undefined) throw new Error(`no control host ${host}`)
     return (node.world as World<ControlTables, ControlInput, ControlOutput>).tables
   }
 
-  /** Hosts that run and believe to lead. */
+  /** Running hosts whose replica has the leader role. Several are possible while a former leader has not seen a newer term. */
   leaders (): HostId[] {
     return this.hosts.filter(host => this.fleet.nodes.get(host)?.isDown === false && this.tables(host).replica.role === 'leader')
   }
 
   #disk (host: HostId): VirtualDisk {
     const disk = this.disks.get(host)
-    if (disk === undefined) throw new Error(`no disk at ${host}`)
+    if (disk === undefined) throw new Error(`control host ${host} has no disk`)
     return disk
   }
 
@@ -158,16 +159,16 @@
 
   #persist (node: VirtualNode, disk: VirtualDisk, record: DiskRecord, sequence: number): void {
     disk.unsynced.push(record)
-    const life = disk.generation
+    const generation = disk.generation
     this.fleet.schedule(this.syncMs, () => {
-      if (disk.generation !== life) return
+      if (disk.generation !== generation) return
       disk.records.push(record)
       disk.unsynced.shift()
       node.inbox.push({ kind: 'persisted', sequence })
       if (disk.unsynced.length > 0) return
-      const waiting = disk.heldMessages
+      const messages = disk.heldMessages
       disk.heldMessages = []
-      for (const row of waiting) this.fleet.send(node.host, row)
+      for (const row of messages) this.fleet.send(node.host, row)
     })
   }
 }
--- a/src/stand-ins/virtualEntry.ts
+++ b/src/stand-ins/virtualEntry.ts
@@ -1,4 +1,4 @@
-/** Entry hosts in a virtual fleet, with small stand-ins for backend servers and callers at their interfaces. */
+/** Entry hosts of a virtual fleet, with fake backend servers and callers. */
 
 import { toId } from '../core/id.js'
 import type { BackendId, ExchangeId, HostId, KeyDigest, RegionId, ServiceId, SiteId, WorkspaceId, ZoneId } from '../core/id.js'
@@ -19,7 +19,7 @@
 import type { VirtualServer, RequestWork } from './virtualServer.js'
 import { keyDigestOf } from './configurationBuilder.js'
 
-/** How one request ended, as its caller saw it. */
+/** Outcome of one request as seen by its caller. */
 export interface VirtualOutcome {
   readonly exchange: ExchangeId
   readonly workspace: string
@@ -31,9 +31,9 @@
   readonly ran: string
 }
 
-/** A request as a test sends it. */
+/** A request to send in a test. */
 export interface VirtualRequest extends RequestWork {
-  /** Sends the request by the routes of this authority instead of by its service. */
+  /** Routes the request by the routes of this authority instead of by its service. */
   readonly authority?: string
   readonly service: string
   readonly workspace: string
@@ -46,52 +46,52 @@
   readonly body?: string
 }
 
-/** A request for this path crashes the server that runs it. */
+/** A request for this path crashes the server that processes it. */
 export const CRASHING_PATH = '/crash'
 
-/** The entry hosts, servers and callers of a virtual fleet. */
+/** Runs the entry hosts, backend servers and callers of a virtual fleet. */
 export class VirtualEntry {
   readonly servers = new Map<string, VirtualServer>()
   readonly outcomes: VirtualOutcome[] = []
-  /** Attempts of non-idempotent requests that reached a server, by idempotency key or exchange. */
+  /** Number of runs of each non-idempotent request, by idempotency key, or by exchange where there is no key. */
   readonly runs = new Map<string, number>()
-  /** Every admission of a request of a workspace, also of those whose host was killed later. */
+  /** Each admission of a request of a workspace, including those at hosts that were killed later. */
   readonly admissions: Array<{ readonly workspace: string, readonly admittedAt: Millis }> = []
-  /** Where each attempt went, by the time at which its request was sent. */
+  /** Placement of each attempt. `isAway` means that the server is in another region than the entry host. */
   readonly placements: Array<{ readonly sentAt: Millis, readonly placedAt: Millis, readonly host: HostId, readonly isAway: boolean }> = []
-  readonly #open = new Map<ExchangeId, { request: VirtualRequest, host: HostId, sentAt: Millis }>()
-  #exchanges = 0
-  #epochs = 0
+  readonly #inFlight = new Map<ExchangeId, { request: VirtualRequest, host: HostId, sentAt: Millis }>()
+  #requestCount = 0
+  #startCount = 0
 
   constructor (readonly fleet: VirtualFleet, readonly locations: readonly HostLocation[], public snapshot: ConfigurationSnapshot, readonly policies: () => EntryPolicies = defaultPolicies) {
-    for (const place of locations) this.startHost(place)
+    for (const location of locations) this.startHost(location)
   }
 
-  /** Requests sent so far. */
-  get sentCount (): number { return this.#exchanges }
+  /** Number of requests sent. */
+  get sentCount (): number { return this.#requestCount }
 
-  /** Starts a host, or starts it again with empty tables, already holding the configuration that a peer vouches for. */
-  startHost (place: HostLocation, loaded = true): void {
-    this.#epochs += 1
+  /** Starts or restarts a host with empty tables. With `hasConfiguration`, it starts with a loaded and confirmed configuration. */
+  startHost (location: HostLocation, hasConfiguration = true): void {
+    this.#startCount += 1
     const self: Member = {
-      host: toId<HostId>(place.host),
+      host: toId<HostId>(location.host),
       role: 'entry',
-      region: toId<RegionId>(place.region),
-      zone: toId<ZoneId>(place.zone),
-      site: toId<SiteId>(place.zone),
-      link: { address: place.host, port: 1 },
-      callers: { address: place.host, port: 2 },
-      epoch: this.#epochs,
+      region: toId<RegionId>(location.region),
+      zone: toId<ZoneId>(location.zone),
+      site: toId<SiteId>(location.zone),
+      link: { address: location.host, port: 1 },
+      callers: { address: location.host, port: 2 },
+      epoch: this.#startCount,
       incarnation: 0,
       state: 'alive'
     }
-    const seeds = this.locations.filter(other => other.host !== place.host).slice(0, 3).map(other => ({ host: toId<HostId>(other.host), link: { address: other.host, port: 1 } }))
+    const seeds = this.locations.filter(other => other.host !== location.host).slice(0, 3).map(other => ({ host: toId<HostId>(other.host), link: { address: other.host, port: 1 } }))
     const world = createEntryWorld({ self, seeds, blocks: new BlockTable([]), randomSeed: this.fleet.random.below(1 << 30), policies: this.policies(), now: this.fleet.now })
-    if (loaded) this.loadConfiguration(world.tables)
+    if (hasConfiguration) this.loadConfiguration(world.tables)
     this.fleet.add(self.host, world, (node, row: EntryOutput) => { this.#deliver(node, row) })
   }
 
-  /** Gives a host the configuration and a vouch for it. */
+  /** Loads the configuration into a host's tables and marks it as confirmed now. */
   loadConfiguration (tables: EntryTables): void {
     installSnapshot(tables.configuration, this.snapshot)
     const vouch: Vouch = { index: this.snapshot.index, term: 1, sequence: 1, ageMs: 0 }
@@ -102,11 +102,11 @@
 
   tables (host: string): EntryTables {
     const node = this.fleet.nodes.get(toId<HostId>(host))
-    if (node === undefined) throw new Error(`no host ${host}`)
+    if (node === undefined) throw new Error(`no entry host ${host}`)
     return (node.world as World<EntryTables, EntryInput, EntryOutput>).tables
   }
 
-  /** Adds a server that announces itself to every host of its zone, four times in each expiry. */
+  /** Adds a server that announces itself to each entry host of its zone, at the announcement interval. */
   addServer (service: string, name: string, zone: string, slots: number, workMs: Millis): VirtualServer {
     const announcement: Announcement = {
       service: toId<ServiceId>(service), backend: toId<BackendId>(name), region: toId<RegionId>(zone.replace(/\d+$/, '')), zone: toId<ZoneId>(zone), target: { address: name, port: 1 }, slots, epoch: 1, sequence: 0, state: 'up', coldMs: 0
@@ -117,10 +117,10 @@
     return server
   }
 
-  /** Crashes a server: everything that runs there is lost, and its next life starts after a while. */
+  /** Crashes a server: its running attempts are lost, and it restarts with a new epoch after `downMs`. */
   crashServer (server: VirtualServer, downMs: Millis): void {
     server.crashCount += 1
-    for (const { node, row } of server.runningAttempts.values()) this.#report(node, row.exchange, row.attempt, 0, { kind: 'lost', reason: 'ECONNRESET' })
+    for (const { node, row } of server.runningAttempts.values()) this.#scheduleResult(node, row.exchange, row.attempt, 0, { kind: 'lost', reason: 'ECONNRESET' })
     server.runningAttempts.clear()
     server.isDown = true
     this.fleet.schedule(downMs, () => {
@@ -129,7 +129,7 @@
     })
   }
 
-  /** A server that begins to leave. */
+  /** Starts the drain of a server; its announcements then have the state `draining`. */
   startDrain (name: string): void {
     const server = this.servers.get(name)
     if (server !== undefined) server.announcement = { ...server.announcement, state: 'draining' }
@@ -137,11 +137,11 @@
 
   /** Sends a request to an entry host. */
   send (host: string, request: VirtualRequest): ExchangeId {
-    this.#exchanges += 1
-    const exchange = toId<ExchangeId>(`x${this.#exchanges}`)
+    this.#requestCount += 1
+    const exchange = toId<ExchangeId>(`x${this.#requestCount}`)
     const method = request.method ?? 'GET'
     const path = request.path ?? '/'
-    this.#open.set(exchange, { request, host: toId<HostId>(host), sentAt: this.fleet.now })
+    this.#inFlight.set(exchange, { request, host: toId<HostId>(host), sentAt: this.fleet.now })
     const row: RequestReceived = {
       kind: 'request',
       exchange,
@@ -160,11 +160,11 @@
     return exchange
   }
 
-  /** Sends requests of a workspace at an even rate to hosts that a function names. */
+  /** Schedules requests of a workspace at a constant rate. `hostAt` returns the entry host of each request. */
   sendAtRate (workspace: WorkspaceId | string, service: string, perSecond: number, from: Millis, until: Millis, hostAt: (now: Millis, n: number) => string): void {
-    const pause = 1_000 / perSecond
+    const intervalMs = 1_000 / perSecond
     let n = 0
-    for (let at = from; at < until; at += pause) {
+    for (let at = from; at < until; at += intervalMs) {
       const number = n
       this.fleet.schedule(at - this.fleet.now, () => { this.send(hostAt(this.fleet.now, number), { service, workspace }) })
       n += 1
@@ -173,85 +173,85 @@
 
   #announce (server: VirtualServer, sequence: number): void {
     if (!server.isDown) {
-      for (const place of this.locations) {
-        const node = this.fleet.nodes.get(toId<HostId>(place.host))
-        if (node === undefined || node.isDown || place.zone !== server.announcement.zone) continue
+      for (const location of this.locations) {
+        const node = this.fleet.nodes.get(toId<HostId>(location.host))
+        if (node === undefined || node.isDown || location.zone !== server.announcement.zone) continue
         node.inbox.push({ kind: 'announcement', announcement: { ...server.announcement, sequence } })
       }
     }
     this.fleet.schedule(ANNOUNCEMENT_INTERVAL, () => { this.#announce(server, sequence + 1) })
   }
 
-  #end (exchange: ExchangeId, kind: VirtualOutcome['kind'], reason: string, ran: string): void {
-    const open = this.#open.get(exchange)
-    if (open === undefined) return
-    this.#open.delete(exchange)
-    this.outcomes.push({ exchange, workspace: open.request.workspace, host: open.host, sentAt: open.sentAt, endedAt: this.fleet.now, kind, reason, ran })
+  #finish (exchange: ExchangeId, kind: VirtualOutcome['kind'], reason: string, ran: string): void {
+    const inFlight = this.#inFlight.get(exchange)
+    if (inFlight === undefined) return
+    this.#inFlight.delete(exchange)
+    this.outcomes.push({ exchange, workspace: inFlight.request.workspace, host: inFlight.host, sentAt: inFlight.sentAt, endedAt: this.fleet.now, kind, reason, ran })
   }
 
   #deliver (node: VirtualNode, row: EntryOutput): void {
     switch (row.kind) {
       case 'send': this.fleet.send(node.host, row); return
-      case 'refuse': this.#endRefused(row); return
-      case 'start-attempt': this.#attempt(node, row); return
-      case 'relay-answer': this.#report(node, row.exchange, row.attempt, 0, { kind: 'complete', answer: { status: 200, headers: {}, body: new Uint8Array() } }); this.#end(row.exchange, 'served', '', 'run'); return
-      case 'replay-answer': this.#end(row.exchange, 'served', 'replayed', 'run'); return
-      case 'cut-answer': this.#end(row.exchange, 'cut', 'cut', 'unknown')
+      case 'refuse': this.#finishRefused(row); return
+      case 'start-attempt': this.#startAttempt(node, row); return
+      case 'relay-answer': this.#scheduleResult(node, row.exchange, row.attempt, 0, { kind: 'complete', answer: { status: 200, headers: {}, body: new Uint8Array() } }); this.#finish(row.exchange, 'served', '', 'run'); return
+      case 'replay-answer': this.#finish(row.exchange, 'served', 'replayed', 'run'); return
+      case 'cut-answer': this.#finish(row.exchange, 'cut', 'cut', 'unknown')
     }
   }
 
-  #endRefused (row: Refused): void { this.#end(row.exchange, 'refused', row.reason, row.ran) }
+  #finishRefused (row: Refused): void { this.#finish(row.exchange, 'refused', row.reason, row.ran) }
 
-  // An idempotent request may run again; only the others must run at most once.
+  // Only non-idempotent requests are counted: idempotent ones may run several times.
   #countRun (row: AttemptStarted): void {
     if (row.idempotent) return
-    const run = this.#open.get(row.exchange)?.request.idempotencyKey ?? row.exchange
+    const run = this.#inFlight.get(row.exchange)?.request.idempotencyKey ?? row.exchange
     this.runs.set(run, (this.runs.get(run) ?? 0) + 1)
   }
 
-  #report (node: VirtualNode, exchange: AttemptStarted['exchange'], attempt: AttemptStarted['attempt'], afterMs: Millis, result: AttemptResult): void {
+  #scheduleResult (node: VirtualNode, exchange: AttemptStarted['exchange'], attempt: AttemptStarted['attempt'], afterMs: Millis, result: AttemptResult): void {
     this.fleet.schedule(afterMs, () => {
       if (!node.isDown) node.inbox.push({ kind: 'attempt', exchange, attempt, result })
     })
   }
 
-  #attempt (node: VirtualNode, row: AttemptStarted): void {
+  #startAttempt (node: VirtualNode, row: AttemptStarted): void {
     if (row.workspace !== null && row.attempt.endsWith('.1')) this.admissions.push({ workspace: row.workspace, admittedAt: this.fleet.now - row.queueMs })
     const server = this.servers.get(row.target.address)
     if (server === undefined || server.isDown) {
-      this.#report(node, row.exchange, row.attempt, 1, { kind: 'not-sent', reason: 'ECONNREFUSED' })
+      this.#scheduleResult(node, row.exchange, row.attempt, 1, { kind: 'not-sent', reason: 'ECONNREFUSED' })
       return
     }
-    const scripted = server.scriptAttempt?.(row) ?? null
-    if (scripted === null && server.runningAttempts.size >= server.announcement.slots && server.queuedAttempts.length < (server.queueCapacity ?? 0)) {
-      server.queuedAttempts.push(() => { this.#run(node, row, server, scripted) })
+    const scriptedResult = server.scriptAttempt?.(row) ?? null
+    if (scriptedResult === null && server.runningAttempts.size >= server.announcement.slots && server.queuedAttempts.length < (server.queueCapacity ?? 0)) {
+      server.queuedAttempts.push(() => { this.#processAttempt(node, row, server, scriptedResult) })
       return
     }
-    if (scripted === null && server.runningAttempts.size >= server.announcement.slots) {
+    if (scriptedResult === null && server.runningAttempts.size >= server.announcement.slots) {
       server.shedCount += 1
-      this.#report(node, row.exchange, row.attempt, 1, { kind: 'head', status: 503, shed: true, load: null })
+      this.#scheduleResult(node, row.exchange, row.attempt, 1, { kind: 'head', status: 503, shed: true, load: null })
       return
     }
-    this.#run(node, row, server, scripted)
+    this.#processAttempt(node, row, server, scriptedResult)
   }
 
-  #run (node: VirtualNode, row: AttemptStarted, server: VirtualServer, scripted: ReturnType<NonNullable<VirtualServer['scriptAttempt']>>): void {
+  #processAttempt (node: VirtualNode, row: AttemptStarted, server: VirtualServer, scriptedResult: ReturnType<NonNullable<VirtualServer['scriptAttempt']>>): void {
     server.startedCount += 1
     server.lastStartedAt = this.fleet.now
     this.#countRun(row)
-    const afterMs = scripted?.afterMs ?? processObject(server, this.#open.get(row.exchange)?.request)
+    const afterMs = scriptedResult?.afterMs ?? processObject(server, this.#inFlight.get(row.exchange)?.request)
     const isAway = server.announcement.region !== this.tables(node.host).gossip.self.region
-    this.placements.push({ sentAt: this.#open.get(row.exchange)?.sentAt ?? this.fleet.now, placedAt: this.fleet.now, host: node.host, isAway })
+    this.placements.push({ sentAt: this.#inFlight.get(row.exchange)?.sentAt ?? this.fleet.now, placedAt: this.fleet.now, host: node.host, isAway })
     server.runningAttempts.set(row.attempt, { node, row })
     this.fleet.schedule(afterMs, () => {
       if (!server.runningAttempts.has(row.attempt)) return
-      if (this.#open.get(row.exchange)?.request.path === CRASHING_PATH) {
+      if (this.#inFlight.get(row.exchange)?.request.path === CRASHING_PATH) {
         this.crashServer(server, 1_000)
         return
       }
       server.runningAttempts.delete(row.attempt)
       server.queuedAttempts.shift()?.()
-      this.#report(node, row.exchange, row.attempt, 0, scripted?.result ?? { kind: 'head', status: 200, shed: false, load: reportLoad(server) })
+      this.#scheduleResult(node, row.exchange, row.attempt, 0, scriptedResult?.result ?? { kind: 'head', status: 200, shed: false, load: reportLoad(server) })
     })
   }
 }
--- a/src/stand-ins/virtualFleet.ts
+++ b/src/stand-ins/virtualFleet.ts
@@ -1,4 +1,4 @@
-/** Worlds in one process under a virtual clock: messages between them are delayed, lost, doubled and cut as a test says. */
+/** Simulates a fleet of hosts in one process under a virtual clock, over a network that can delay, lose, duplicate and block messages. */
 
 import type { HostId } from '../core/id.js'
 import { SeededRandom } from '../core/random.js'
@@ -8,42 +8,43 @@
 import type { Millis, World } from '../core/tick.js'
 import type { MessageSent } from '../membership/types.js'
 
-/** A world of any role as the fleet runs it. */
+/** A simulated host of any role. */
 export interface VirtualNode {
   readonly host: HostId
   readonly world: World<any, any, any>
-  /** Takes every outbox row that is no message. */
+  /** Handles each outbox row of a tick. */
   readonly onOutput: (node: VirtualNode, row: any) => void
   inbox: unknown[]
-  /** A frozen process neither runs nor loses what is sent to it. */
+  /** Whether the process is suspended: it does not run, but keeps its inbox and receives messages. */
   isFrozen: boolean
+  /** Whether the process has stopped: it does not run, and messages to it are lost. */
   isDown: boolean
 }
 
-/** How the network between hosts behaves. */
+/** Simulated network conditions. */
 export interface VirtualNetwork {
   delay: (from: HostId, to: HostId) => Millis
-  /** Part of messages that are lost, 0 to 1. */
+  /** Probability that a message is lost, 0 to 1. */
   loss: number
-  /** Part of messages that come twice, 0 to 1. */
+  /** Probability that a message is delivered twice, 0 to 1. */
   doubled: number
-  /** Random extra delay that lets messages overtake each other. */
+  /** Upper bound of a random extra delay that reorders messages. */
   jitter: Millis
   isPartitioned: (from: HostId, to: HostId) => boolean
 }
 
-interface Event { readonly at: Millis, readonly order: number, readonly run: () => void }
+interface ScheduledEvent { readonly at: Millis, readonly order: number, readonly run: () => void }
 
-/** A fleet under a virtual clock. */
+/** Runs simulated hosts and scheduled events under a virtual clock. The same seed gives the same run. */
 export class VirtualFleet {
   now: Millis = 0
   readonly nodes = new Map<HostId, VirtualNode>()
   readonly random: Random
   readonly network: VirtualNetwork = { delay: () => 1, loss: 0, doubled: 0, jitter: 0, isPartitioned: () => false }
-  /** Bytes are not counted here; messages are. */
+  /** Number of messages sent, including lost ones. */
   messageCount = 0
-  #events: Event[] = []
-  #order = 0
+  #events: ScheduledEvent[] = []
+  #scheduledCount = 0
 
   constructor (seed: number) { this.random = new SeededRandom(seed) }
 
@@ -53,13 +54,13 @@
     return node
   }
 
-  /** Queues an input row for a host at the present time. */
+  /** Adds an input row to a host's inbox. */
   push (host: HostId, row: unknown): void { this.nodes.get(host)?.inbox.push(row) }
 
-  /** Runs something later. */
+  /** Runs a function after a delay. Events at the same time run in the order of scheduling. */
   schedule (delay: Millis, run: () => void): void {
-    this.#order += 1
-    const event: Event = { at: this.now + delay, order: this.#order, run }
+    this.#scheduledCount += 1
+    const event: ScheduledEvent = { at: this.now + delay, order: this.#scheduledCount, run }
     let low = 0
     let high = this.#events.length
     while (low < high) {
@@ -71,7 +72,7 @@
     this.#events.splice(low, 0, event)
   }
 
-  /** Sends a message over the network. */
+  /** Sends a message over the simulated network. */
   send (from: HostId, row: MessageSent<unknown>): void {
     this.messageCount += 1
     const { network, random } = this
@@ -86,7 +87,7 @@
     }
   }
 
-  /** Runs events, inputs and deadlines up to a time. */
+  /** Processes events, inputs and deadlines up to the given time. */
   runUntil (end: Millis): void {
     for (;;) {
       this.#tickReady()
@@ -115,9 +116,9 @@
       const inbox = node.inbox
       node.inbox = []
       for (const row of runTick(node.world, this.now, inbox)) node.onOutput(node, row)
-      // A deadline that stays due would make the process spin.
+      // A deadline that is still due after the tick would make the process run ticks without pause.
       const stuck = node.world.systems.find(system => system.deadline(node.world.tables) <= this.now)
-      invariant(stuck === undefined, `system ${stuck?.name ?? ''} on ${node.host} leaves its deadline due`)
+      invariant(stuck === undefined, `system ${stuck?.name ?? ''} on ${node.host} still has a deadline that is due after a tick`)
     }
   }
 }
--- a/src/stand-ins/virtualServer.ts
+++ b/src/stand-ins/virtualServer.ts
@@ -1,60 +1,60 @@
-/** Stand-ins for backend servers in a virtual fleet. */
+/** Fake backend servers of a virtual fleet. */
 
 import type { Millis } from '../core/tick.js'
 import type { Announcement, ReportedLoad } from '../announcement/types.js'
 import type { AttemptResult, AttemptStarted } from '../exchange/types.js'
 import type { VirtualNode } from './virtualFleet.js'
 
-/** Objects that a server has handled lately, the one seen longest ago first. */
+/** LRU cache of objects, the least recently used first. `warmFactor` scales the processing time of a cached object. */
 export interface ObjectCache { readonly capacity: number, readonly warmFactor: number, readonly objects: Set<string> }
 
-/** A stand-in backend server: what it does with an attempt is a function. */
+/** A fake backend server. */
 export interface VirtualServer {
   announcement: Announcement
-  /** Time that a request takes, in milliseconds. */
+  /** Processing time of a request, in milliseconds. */
   workMs: Millis
   isDown: boolean
   startedCount: number
   shedCount: number
   lastStartedAt: Millis
-  /** Attempts that run now; a crash loses all of them. */
+  /** Attempts in progress; a crash loses all of them. */
   readonly runningAttempts: Map<AttemptStarted['attempt'], { readonly node: VirtualNode, readonly row: AttemptStarted }>
   crashCount: number
-  /** Requests that may wait for a slot; none when absent. */
+  /** Maximum number of attempts that wait for a slot; 0 if absent. */
   queueCapacity?: number
   readonly queuedAttempts: Array<() => void>
-  /** Whether its answers tell its load. */
+  /** Whether responses report the server's load. */
   reportsLoad?: boolean
-  /** Objects that it handles faster while it remembers them; none when absent. */
+  /** Cache of objects that are processed faster; nothing is cached if absent. */
   cache?: ObjectCache
-  /** How many times longer than usual it takes; 1 when absent. */
+  /** Multiplier of the processing time; 1 if absent. */
   slowdownFactor?: number
-  /** Replaces the ordinary course of an attempt. */
+  /** Returns a scripted result for an attempt, or null to process it normally. Scripted attempts ignore slots and queue. */
   scriptAttempt: ((row: AttemptStarted) => { afterMs: Millis, result: AttemptResult } | null) | null
 }
 
-/** What decides how long a request takes. */
+/** Properties of a request that determine its processing time. */
 export interface RequestWork {
   readonly affinity?: string
-  /** Time that it takes where the server does not know its object, in milliseconds; the server's own when absent. */
+  /** Processing time when the object is not cached, in milliseconds; the server's `workMs` if absent. */
   readonly workMs?: Millis
 }
 
-/** Time that a request takes at a server, which remembers its object from then on. */
+/** Returns the processing time of a request, in milliseconds, and adds its object to the server's cache. */
 export const processObject = (server: VirtualServer, request: RequestWork | undefined): Millis => {
-  const { cache: memory } = server
+  const { cache } = server
   const workMs = (request?.workMs ?? server.workMs) * (server.slowdownFactor ?? 1)
   const object = request?.affinity
-  if (memory === undefined || object === undefined) return workMs
-  const isWarm = memory.objects.delete(object)
-  memory.objects.add(object)
-  if (memory.objects.size > memory.capacity) {
-    const oldest = memory.objects.values().next().value
-    if (oldest !== undefined) memory.objects.delete(oldest)
+  if (cache === undefined || object === undefined) return workMs
+  const isCached = cache.objects.delete(object)
+  cache.objects.add(object)
+  if (cache.objects.size > cache.capacity) {
+    const oldest = cache.objects.values().next().value
+    if (oldest !== undefined) cache.objects.delete(oldest)
   }
-  return isWarm ? workMs * memory.warmFactor : workMs
+  return isCached ? workMs * cache.warmFactor : workMs
 }
 
-/** What a server's answers say of its load. */
+/** Returns the load that the server reports in a response, or null if it reports none. */
 export const reportLoad = (server: VirtualServer): ReportedLoad | null =>
   server.reportsLoad === true ? { running: server.runningAttempts.size, waiting: server.queuedAttempts.length, slots: server.announcement.slots } : null
--- a/src/stand-ins/virtualTopology.ts
+++ b/src/stand-ins/virtualTopology.ts
@@ -1,25 +1,25 @@
-/** Places of entry hosts in a virtual fleet, and the time between them. */
+/** Locations of the entry hosts of a virtual fleet, and the network delays between them. */
 
 import type { HostId } from '../core/id.js'
 import type { Millis } from '../core/tick.js'
 
-/** An entry host's place. */
+/** The zone and region of an entry host. */
 export interface HostLocation { readonly host: string, readonly zone: string, readonly region: string }
 
-/** Entry hosts over zones of regions, as both users have them. */
+/** Creates the same number of entry hosts in each zone, named REGION, zone number, `-`, host number: `n1-2`. */
 export const createLocations = (regions: readonly string[], zonesPerRegion: number, hostsPerZone: number): HostLocation[] => {
-  const places: HostLocation[] = []
+  const locations: HostLocation[] = []
   for (const region of regions) {
     for (let zone = 1; zone <= zonesPerRegion; zone += 1) {
       for (let number = 1; number <= hostsPerZone; number += 1) {
-        places.push({ host: `${region}${zone}-${number}`, zone: `${region}${zone}`, region })
+        locations.push({ host: `${region}${zone}-${number}`, zone: `${region}${zone}`, region })
       }
     }
   }
-  return places
+  return locations
 }
 
-/** Delays between hosts whose names begin with their region and zone, as in `placesOver`. */
+/** Returns a delay function: 0.5 ms within a region, `regionMs` between regions. Reads zones from host names as `createLocations` forms them. */
 export const delayByRegion = (regionMs: Millis) => (from: HostId, to: HostId): Millis => {
   const zoneOf = (host: HostId): string => host.split('-', 1)[0] ?? ''
   if (zoneOf(from) === zoneOf(to)) return 0.5
