--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -1,4 +1,4 @@
-// Bundles the product and the tools, and makes the single binary dist/rhubarbseam.
+// Bundles the product and its tools, and builds the single executable dist/rhubarbseam.
 import { execFileSync } from 'node:child_process'
 import { randomBytes } from 'node:crypto'
 import { chmodSync, copyFileSync, mkdirSync, readFileSync, writeFileSync } from 'node:fs'
@@ -7,20 +7,20 @@
 import { build } from 'esbuild'
 
 const { version } = JSON.parse(readFileSync('package.json', 'utf8'))
-const FUSE = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2'
+const SEA_FUSE = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2'
 
-// Optional native parts of libraries; each works without them, and the single binary could not load them.
-const withoutNativeParts = {
-  name: 'without-native-parts',
+// Excludes optional native modules of libraries. The libraries work without them, and the single executable cannot load them.
+const excludeNativeModules = {
+  name: 'exclude-native-modules',
   setup ({ onResolve, onLoad }) {
     onResolve({ filter: /^(dtrace-provider|source-map-support|mv|msgpackr-extract|bufferutil|utf-8-validate)$/ }, ({ path }) => ({ path, namespace: 'absent' }))
     onLoad({ filter: /.*/, namespace: 'absent' }, ({ path }) => ({ contents: `throw new Error('${path} is not part of the binary')` }))
   }
 }
 
-// Parts of libraries that the provider's machines never use; each start would load them. Traces are not sent there.
-const withoutUnusedParts = {
-  name: 'without-unused-parts',
+// Excludes modules that the platform program never uses, because loading them would slow down each start. That program exports no traces.
+const excludeUnusedModules = {
+  name: 'exclude-unused-modules',
   setup ({ onResolve, onLoad }) {
     const httpClient = `
       exports.Agent = require('${resolve('node_modules/undici/lib/dispatcher/agent.js')}')
@@ -44,39 +44,39 @@
     format: 'cjs',
     logLevel: 'error',
     define: { RHUBARBSEAM_VERSION: JSON.stringify(version) },
-    plugins: [...plugins, withoutNativeParts]
+    plugins: [...plugins, excludeNativeModules]
   })
 }
 
-const makeBinary = () => {
+const buildExecutable = () => {
   writeFileSync('dist/sea.json', JSON.stringify({ main: 'dist/rhubarbseam.cjs', output: 'dist/sea.blob', disableExperimentalSEAWarning: true }))
   execFileSync(process.execPath, ['--experimental-sea-config', 'dist/sea.json'], { stdio: 'pipe' })
   copyFileSync(process.execPath, 'dist/rhubarbseam')
   chmodSync('dist/rhubarbseam', 0o755)
   const postject = createRequire(import.meta.url).resolve('postject/dist/cli.js')
-  execFileSync(process.execPath, [postject, 'dist/rhubarbseam', 'NODE_SEA_BLOB', 'dist/sea.blob', '--sentinel-fuse', FUSE], { stdio: 'pipe' })
+  execFileSync(process.execPath, [postject, 'dist/rhubarbseam', 'NODE_SEA_BLOB', 'dist/sea.blob', '--sentinel-fuse', SEA_FUSE], { stdio: 'pipe' })
 }
 
-// Node's own flags of each role, as the deploy file runs it.
-const roleFlags = () => {
+// Reads the Node.js flags of each role from the deploy file. The code cache is created with the same flags.
+const readRoleFlags = () => {
   const flags = new Map()
-  for (const [, role, given] of readFileSync('deploy/system.toml', 'utf8').matchAll(/\[roles\.(\w+)\]\s+run = "node (.*?) ?target\//g)) flags.set(role, given.split(' '))
+  for (const [, role, nodeFlags] of readFileSync('deploy/system.toml', 'utf8').matchAll(/\[roles\.(\w+)\]\s+run = "node (.*?) ?target\//g)) flags.set(role, nodeFlags.split(' '))
   return flags
 }
 
-// The program that the provider's machines run, compiled in advance, with a key that all processes of one build share.
-const makePlatformBuild = async () => {
+// Builds the platform program with a code cache for each role, and a fleet key that all processes of one build share.
+const buildPlatformProgram = async () => {
   mkdirSync('target', { recursive: true })
   await Promise.all([
-    bundle('platform/main.ts', 'target/program.cjs', { minify: true, plugins: [withoutUnusedParts] }),
+    bundle('platform/main.ts', 'target/program.cjs', { minify: true, plugins: [excludeUnusedModules] }),
     bundle('src/process/launcher.ts', 'target/rhubarbseam.cjs')
   ])
-  for (const [role, flags] of roleFlags()) execFileSync(process.execPath, [...flags, 'target/rhubarbseam.cjs', 'make-code-cache', `target/${role}.cache`])
+  for (const [role, flags] of readRoleFlags()) execFileSync(process.execPath, [...flags, 'target/rhubarbseam.cjs', 'make-code-cache', `target/${role}.cache`])
   writeFileSync('target/fleet.key', `${randomBytes(32).toString('hex')}\n`)
 }
 
 if (process.argv.includes('--platform')) {
-  await makePlatformBuild()
+  await buildPlatformProgram()
   process.exit(0)
 }
 
@@ -88,5 +88,5 @@
   bundle('src/bench/lookupCaller.ts', 'dist/lookupCaller.cjs'),
   bundle('src/stand-ins/backendServerMain.ts', 'dist/backendServer.cjs')
 ])
-await makePlatformBuild()
-if (!process.argv.includes('--bundles')) makeBinary()
+await buildPlatformProgram()
+if (!process.argv.includes('--bundles')) buildExecutable()
--- a/scripts/layerRule.mjs
+++ b/scripts/layerRule.mjs
@@ -1,8 +1,8 @@
-// Lint rule: a folder of src/ imports from folders below it only, and no two modules import each other by any way round.
+// ESLint rule for the layers of src/: a folder imports only from lower layers, and modules have no circular imports.
 import { existsSync, readFileSync } from 'node:fs'
 import { basename, dirname, relative, resolve, sep } from 'node:path'
 
-/** Folders of src/ from the lowest to the highest. */
+/** Folders of src/, from the lowest layer to the highest. */
 export const LAYERS = [
   'core', 'journal',
   'plan', 'configuration',
@@ -15,52 +15,52 @@
   'stand-ins', 'invariants', 'bench'
 ]
 
-const IMPORT = /^(?:import|export)\s[^'"]*from '(\.[^']+)'/gm
-const SOURCE = resolve('src')
-const imports = new Map()
+const IMPORT_PATTERN = /^(?:import|export)\s[^'"]*from '(\.[^']+)'/gm
+const SOURCE_FOLDER = resolve('src')
+const importsByFile = new Map()
 
-const toModule = (from, specifier) => resolve(dirname(from), specifier).replace(/\.js$/, '.ts')
+const resolveImport = (from, specifier) => resolve(dirname(from), specifier).replace(/\.js$/, '.ts')
 
 const importsOf = file => {
-  let known = imports.get(file)
-  if (known !== undefined) return known
-  known = existsSync(file) ? [...readFileSync(file, 'utf8').matchAll(IMPORT)].map(([, specifier]) => toModule(file, specifier)) : []
-  imports.set(file, known)
-  return known
+  let cached = importsByFile.get(file)
+  if (cached !== undefined) return cached
+  cached = existsSync(file) ? [...readFileSync(file, 'utf8').matchAll(IMPORT_PATTERN)].map(([, specifier]) => resolveImport(file, specifier)) : []
+  importsByFile.set(file, cached)
+  return cached
 }
 
-const leadsBack = (start, first) => {
+const importsTransitively = (target, first) => {
   const seen = new Set([first])
-  const open = [first]
-  for (const file of open) {
-    if (file === start) return true
+  const pending = [first]
+  for (const file of pending) {
+    if (file === target) return true
     for (const next of importsOf(file)) {
       if (seen.has(next)) continue
       seen.add(next)
-      open.push(next)
+      pending.push(next)
     }
   }
   return false
 }
 
-const layerOf = file => LAYERS.indexOf(relative(SOURCE, file).split(sep)[0])
+const layerOf = file => LAYERS.indexOf(relative(SOURCE_FOLDER, file).split(sep)[0])
 
-// The types of a feature are its vocabulary: features below it may speak of its rows, but not run its code.
-const isAbove = (file, target) => layerOf(target) > layerOf(file) && basename(target) !== 'types.ts'
+// A file `types.ts` may be imported from any layer: lower layers may use a feature's types, but not its code.
+const isHigherLayer = (file, target) => layerOf(target) > layerOf(file) && basename(target) !== 'types.ts'
 
-/** The order of folders, and no circles. */
+/** Reports imports from higher layers, circular imports, and folders that are missing from `LAYERS`. */
 export const layerRule = {
-  meta: { type: 'problem', schema: [], messages: { above: '{{target}} belongs to a layer above this one', circle: '{{target}} imports this module again', unknown: 'this folder has no place in the order of layers' } },
+  meta: { type: 'problem', schema: [], messages: { above: '{{target}} belongs to a layer above this one', cycle: '{{target}} imports this module again', unknown: 'this folder has no place in the order of layers' } },
   create: context => {
     const file = resolve(context.filename)
-    const isLayered = file.startsWith(SOURCE + sep) && dirname(file) !== SOURCE && !file.endsWith('.spec.ts')
-    if (!isLayered) return {}
+    const isChecked = file.startsWith(SOURCE_FOLDER + sep) && dirname(file) !== SOURCE_FOLDER && !file.endsWith('.spec.ts')
+    if (!isChecked) return {}
     const check = node => {
       if (!node.source?.value.startsWith('.')) return
-      const target = toModule(file, node.source.value)
-      const data = { target: relative(SOURCE, target) }
-      if (isAbove(file, target)) context.report({ node, messageId: 'above', data })
-      if (leadsBack(file, target)) context.report({ node, messageId: 'circle', data })
+      const target = resolveImport(file, node.source.value)
+      const data = { target: relative(SOURCE_FOLDER, target) }
+      if (isHigherLayer(file, target)) context.report({ node, messageId: 'above', data })
+      if (importsTransitively(file, target)) context.report({ node, messageId: 'cycle', data })
     }
     return {
       Program: node => { if (layerOf(file) < 0) context.report({ node, messageId: 'unknown' }) },
--- a/scripts/mutants.mjs
+++ b/scripts/mutants.mjs
@@ -1,5 +1,5 @@
-// Shows that the proofs fail when the mechanism they are about is taken away: each mutant is made in a scratch
-// copy, its spec must fail there. Usage: npm run mutants [NAME...]
+// Mutation tests: applies each mutant, which disables one mechanism, in a scratch copy of the sources and checks that
+// the spec of the mechanism fails there. Usage: npm run mutants [NAME...]
 import { spawnSync } from 'node:child_process'
 import { cpSync, mkdtempSync, readFileSync, rmSync, symlinkSync, writeFileSync } from 'node:fs'
 import { tmpdir } from 'node:os'
--- a/src/bench/capacity.ts
+++ b/src/bench/capacity.ts
@@ -74,7 +74,7 @@
   const seconds = OBSERVATION_MS / 1_000
   const perNode = (value: number): number => value / nodes / seconds
   const corePercent = 100 * (idleCpu.user + idleCpu.system) / 1e6 / nodes / seconds
-  printLine(`${String(nodes).padStart(4)} nodes: ${perNode(idleBytes).toFixed(0)} B/s and ${perNode(idleMessages).toFixed(1)} messages/s sent a node, ${corePercent.toFixed(3)} % of a core a node for the systems alone; change in force everywhere p50 ${quantile(times, 0.5)} ms, worst ${Math.max(...times)} ms of ${times.length}`)
+  printLine(`${String(nodes).padStart(4)} nodes: ${perNode(idleBytes).toFixed(0)} B/s and ${perNode(idleMessages).toFixed(1)} messages/s sent per node, ${corePercent.toFixed(3)} % of a core per node for the systems alone; time until a change is in force on all entry hosts p50 ${quantile(times, 0.5)} ms, worst ${Math.max(...times)} ms of ${times.length}`)
 }
 
 const measureDisk = async (printLine: PrintLine): Promise<void> => {
@@ -94,10 +94,10 @@
     }
     const seconds = (performance.now() - start) / 1_000
     opened.value.store.close()
-    printLine(`disk: ${Math.round(entries / seconds)} synced writes a second one after another, p50 ${quantile(times, 0.5).toFixed(2)} ms, p99 ${quantile(times, 0.99).toFixed(2)} ms`)
+    printLine(`disk: ${Math.round(entries / seconds)} sequential synced writes per second, p50 ${quantile(times, 0.5).toFixed(2)} ms, p99 ${quantile(times, 0.99).toFixed(2)} ms`)
     const before = performance.now()
     const reopened = DiskStore.open(folder)
-    printLine(`recovery: ${entries} entries read in ${(performance.now() - before).toFixed(0)} ms (the log is compacted every 1,000)`)
+    printLine(`recovery: ${entries} entries read in ${(performance.now() - before).toFixed(0)} ms (the log is compacted every 1,000 entries)`)
     if (reopened.tag === 'ok') reopened.value.store.close()
   } finally {
     rmSync(folder, { recursive: true })
@@ -114,15 +114,15 @@
   const keys = new RowTable<string, KeyGrant>(row => row.digest)
   const count = 100_000
   for (let n = 0; n < count; n += 1) keys.put({ digest: toId(n.toString(16).padStart(64, '0')), workspace: toId(`w${n % 1_000}`), state: 'given' })
-  printLine(`keys: ${((heapBytes() - beforeKeys) / count).toFixed(0)} bytes a key at ${keys.size} keys`)
+  printLine(`keys: ${((heapBytes() - beforeKeys) / count).toFixed(0)} bytes per key with ${keys.size} keys`)
   const beforeBlocks = heapBytes()
   const table = new BlockTable(makeBlocks(570_000))
-  printLine(`blocks: ${(table.bytes / 570_000).toFixed(1)} bytes a block in columns, ${((heapBytes() - beforeBlocks) / 1024 / 1024).toFixed(1)} MB of heap for 570,000`)
+  printLine(`blocks: ${(table.bytes / 570_000).toFixed(1)} bytes per block in columns, ${((heapBytes() - beforeBlocks) / 1024 / 1024).toFixed(1)} MB of heap for 570,000`)
 }
 
 /** Measures the capacity and prints one line for each figure. */
 export const measureCapacity = async (printLine: PrintLine): Promise<void> => {
-  printLine('control traffic and spread of changes, virtual clock, 27 ms one way between regions, 60 bytes of headers a message')
+  printLine('control traffic and propagation of changes, virtual clock, 27 ms one way between regions, 60 bytes of headers per message')
   for (const hostsPerZone of [4, 8, 16, 32]) measureNodes(printLine, hostsPerZone)
   await measureDisk(printLine)
   measureMemory(printLine)
--- a/src/bench/idle.ts
+++ b/src/bench/idle.ts
@@ -34,7 +34,7 @@
     await fleet.waitUntilReady(60_000)
     await new Promise(resolve => setTimeout(resolve, WARM_UP_MS))
     for (const [name, processes] of [['entry hosts', fleet.entryHosts], ['control hosts', fleet.controlHosts]] as const) {
-      printLine(`${processes.length} ${name}, ${seconds} s without requests; resident memory ${Math.max(...processes.map(residentMegabytes)).toFixed(0)} MB at most`)
+      printLine(`${processes.length} ${name}, ${seconds} s without requests; largest resident memory ${Math.max(...processes.map(residentMegabytes)).toFixed(0)} MB`)
     }
     const before = new Map([...fleet.entryHosts, ...fleet.controlHosts].map(process => [process.name, cpuSeconds(process)]))
     await new Promise(resolve => setTimeout(resolve, seconds * 1_000))
--- a/src/bench/lookups.ts
+++ b/src/bench/lookups.ts
@@ -53,11 +53,11 @@
     answerLookup(entry.tables, random, lookup, 0)
   }
   const seconds = (performance.now() - start) / 1_000
-  printLine(`decision alone: ${Math.round(DECISION_COUNT / seconds)} a second with ${table.size} runs of ${TARGET_BLOCKS} blocks in ${(table.bytes / MEGABYTE).toFixed(1)} MB of columns (target 500,000 a second, under 64 MB)`)
+  printLine(`decision alone: ${Math.round(DECISION_COUNT / seconds)} per second with ${table.size} address ranges from ${TARGET_BLOCKS} blocks in ${(table.bytes / MEGABYTE).toFixed(1)} MB of columns (target 500,000 per second, under 64 MB)`)
   const origin = `http://127.0.0.1:${entry.callerPort}`
   const callers = Array.from({ length: HTTP_WORKERS }, async () => await countWorkerLookups(origin))
   const answered = (await Promise.all(callers)).reduce((sum, count) => sum + count, 0)
-  printLine(`over HTTP: ${Math.round(answered / HTTP_SECONDS)} a second from one process, ${HTTP_WORKERS} threads of callers beside it (target 4,070 a second)`)
-  printLine(`resident memory of the process: ${(process.memoryUsage().rss / MEGABYTE).toFixed(0)} MB, node itself and the caller included`)
+  printLine(`over HTTP: ${Math.round(answered / HTTP_SECONDS)} per second from one process, with ${HTTP_WORKERS} caller threads (target 4,070 per second)`)
+  printLine(`resident memory of the process: ${(process.memoryUsage().rss / MEGABYTE).toFixed(0)} MB, including Node.js and the callers`)
   await entry.stop()
 }
--- a/src/bench/runScenario.ts
+++ b/src/bench/runScenario.ts
@@ -40,15 +40,15 @@
 
 const quantile = (sorted: readonly number[], fraction: number): number => sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * fraction))] ?? 0
 
-interface ScenarioRun { readonly scenario: Scenario, readonly fleet: VirtualFleet, readonly entry: VirtualEntry, readonly loads: Map<string, number>, readonly drains: Map<string, number>, readonly cut: Set<string> }
+interface ScenarioRun { readonly scenario: Scenario, readonly fleet: VirtualFleet, readonly entry: VirtualEntry, readonly loads: Map<string, number>, readonly drainStarts: Map<string, number>, readonly cutZones: Set<string> }
 
 const startRun = (scenario: Scenario, seed: number, policies: () => EntryPolicies): ScenarioRun => {
   const locations = createLocations(scenario.regions, ZONES_PER_REGION, scenario.hostsPerZone)
   const fleet = new VirtualFleet(seed)
   fleet.network.delay = delayByRegion(scenario.regionDelayMs)
-  const cut = new Set<string>()
+  const cutZones = new Set<string>()
   const zoneOf = (host: HostId): string => host.split('-', 1)[0] ?? ''
-  fleet.network.isPartitioned = (from, to) => cut.has(zoneOf(from)) !== cut.has(zoneOf(to))
+  fleet.network.isPartitioned = (from, to) => cutZones.has(zoneOf(from)) !== cutZones.has(zoneOf(to))
   const builder = new ConfigurationBuilder().profile(defaultTerms).hosts(locations)
   for (const row of scenario.services) builder.service(row.service, row.timeoutMs)
   for (const row of scenario.workspaces) builder.workspace(row.workspace, row.rate, row.burst)
@@ -60,16 +60,16 @@
     }
   }
   const loads = new Map(scenario.workspaces.map(row => [row.workspace, row.load]))
-  return { scenario, fleet, entry, loads, drains: new Map(), cut }
+  return { scenario, fleet, entry, loads, drainStarts: new Map(), cutZones }
 }
 
 const applyEvent = (run: ScenarioRun, event: ScenarioEvent): void => {
-  const { fleet, entry, loads, drains, cut } = run
+  const { fleet, entry, loads, drainStarts, cutZones } = run
   switch (event.kind) {
     case 'load': loads.set(event.workspace, event.load); return
     case 'drain':
       entry.startDrain(event.server)
-      drains.set(event.server, fleet.now)
+      drainStarts.set(event.server, fleet.now)
       return
     case 'crash': {
       const server = entry.servers.get(event.server)
@@ -83,8 +83,8 @@
       if (location !== undefined) entry.startHost(location)
       return
     }
-    case 'cut-zone': cut.add(event.zone); return
-    case 'heal': cut.clear()
+    case 'cut-zone': cutZones.add(event.zone); return
+    case 'heal': cutZones.clear()
   }
 }
 
@@ -117,7 +117,7 @@
 }
 
 const summarize = (run: ScenarioRun): ScenarioResult => {
-  const { scenario, fleet, entry, drains } = run
+  const { scenario, fleet, entry, drainStarts } = run
   const exceedsRate = (workspace: string): boolean => scenario.events.some(event => event.kind === 'load' && event.workspace === workspace && event.load > 1)
   const withinRate = scenario.workspaces.filter(row => !exceedsRate(row.workspace))
   const outcomesOf = (workspace: string): VirtualOutcome[] => entry.outcomes.filter(row => row.workspace === workspace)
@@ -130,7 +130,7 @@
     maxGrantsOver = Math.max(maxGrantsOver, grantsOver(entry.admissions.filter(grant => grant.workspace === row.workspace), row.rate, row.burst))
   }
   let drainMs = 0
-  for (const [name, at] of drains) drainMs = Math.max(drainMs, (entry.servers.get(name)?.lastStartedAt ?? 0) - at)
+  for (const [name, at] of drainStarts) drainMs = Math.max(drainMs, (entry.servers.get(name)?.lastStartedAt ?? 0) - at)
   let sheds = 0
   for (const server of entry.servers.values()) sheds += server.shedCount
   return {
