--- a/src/replicated-log/replicationSystem.ts
+++ b/src/replicated-log/replicationSystem.ts
@@ -4,8 +4,8 @@
 import type { Millis, System } from '../core/tick.js'
 import { NEVER } from '../core/tick.js'
 import { installSnapshot } from '../configuration/configurationTables.js'
-import { ENTRIES_PER_APPEND, becomeFollower, drawElectionAt, isVoter, otherReplicas, persist, quorumOf, refreshGroup, replicaAt, sendLog } from './replicaSteps.js'
-import { ELECTION_TIMEOUT, HEARTBEAT } from './timing.js'
+import { ENTRIES_PER_APPEND, becomeFollower, drawElectionAt, isVoter, otherReplicas, persist, quorumSize, refreshGroup, replicaAt, sendLog } from './replicaSteps.js'
+import { ELECTION_TIMEOUT_MS, HEARTBEAT } from './timing.js'
 import type { LogInput, LogOutput, LogTick, ReplicaTables } from './replicaSteps.js'
 import type { Entry, FollowerRow, LogMessage, Replica } from './types.js'
 
@@ -20,7 +20,7 @@
 const followerOf = (tick: LogTick, replica: Replica): FollowerRow => {
   let row = tick.tables.followers.get(replica.replica)
   if (row === undefined) {
-    row = { replica: replica.replica, next: tick.tables.log.lastIndex + 1, match: 0, confirmedAt: tick.now, busyUntil: 0 }
+    row = { replica: replica.replica, nextIndex: tick.tables.log.lastIndex + 1, matchIndex: 0, ackedRoundSentAt: tick.now, busyUntil: 0 }
     tick.tables.followers.put(row)
   }
   return row
@@ -29,23 +29,23 @@
 const startRound = (tick: LogTick): void => {
   const replica = tick.tables.replica
   replica.round += 1
-  replica.rounds.set(replica.round, tick.now)
-  replica.rounds.delete(replica.round - KEPT_ROUNDS)
+  replica.roundSendTimes.set(replica.round, tick.now)
+  replica.roundSendTimes.delete(replica.round - KEPT_ROUNDS)
 }
 
 const sendEntries = (tick: LogTick, to: Replica, follower: FollowerRow, isHeartbeat: boolean): void => {
   const { replica, log } = tick.tables
   const { term, round, self } = replica
   const isBusy = tick.now < follower.busyUntil
-  if (follower.next <= log.baseIndex && replica.snapshot !== null) {
+  if (follower.nextIndex <= log.baseIndex && replica.snapshot !== null) {
     if (isBusy) return
     follower.busyUntil = tick.now + RESEND
     sendLog(tick, to, { kind: 'install', term, replica: self.replica, round, snapshot: replica.snapshot }, false)
     return
   }
-  const entries = isBusy ? [] : log.slice(follower.next, ENTRIES_PER_APPEND)
+  const entries = isBusy ? [] : log.slice(follower.nextIndex, ENTRIES_PER_APPEND)
   if (entries.length === 0 && !isHeartbeat) return
-  const previousIndex = follower.next - 1
+  const previousIndex = follower.nextIndex - 1
   const previousTerm = log.termAt(previousIndex) ?? 0
   if (entries.length > 0) follower.busyUntil = tick.now + RESEND
   sendLog(tick, to, { kind: 'append', term, replica: self.replica, round, previousIndex, previousTerm, entries, commit: replica.commit }, false)
@@ -100,9 +100,9 @@
   #checkQuorum (tick: LogTick): void {
     let confirmed = isVoter(tick.tables, tick.tables.replica.self.replica) ? 1 : 0
     for (const row of tick.tables.followers.rows()) {
-      if (isVoter(tick.tables, row.replica) && tick.now - row.confirmedAt < ELECTION_TIMEOUT) confirmed += 1
+      if (isVoter(tick.tables, row.replica) && tick.now - row.ackedRoundSentAt < ELECTION_TIMEOUT_MS) confirmed += 1
     }
-    if (confirmed < quorumOf(tick.tables)) becomeFollower(tick, tick.tables.replica.term, null)
+    if (confirmed < quorumSize(tick.tables)) becomeFollower(tick, tick.tables.replica.term, null)
   }
 
   #noteSynced (tick: LogTick, sequence: number): void {
@@ -185,13 +185,13 @@
     }
     const follower = followers.get(reply.replica)
     if (replica.role !== 'leader' || reply.term !== replica.term || follower === undefined) return
-    follower.confirmedAt = Math.max(follower.confirmedAt, replica.rounds.get(reply.round) ?? follower.confirmedAt)
+    follower.ackedRoundSentAt = Math.max(follower.ackedRoundSentAt, replica.roundSendTimes.get(reply.round) ?? follower.ackedRoundSentAt)
     if (reply.success) {
-      if (reply.match > follower.match) follower.busyUntil = 0
-      follower.match = Math.max(follower.match, reply.match)
-      follower.next = Math.max(follower.next, follower.match + 1)
+      if (reply.match > follower.matchIndex) follower.busyUntil = 0
+      follower.matchIndex = Math.max(follower.matchIndex, reply.match)
+      follower.nextIndex = Math.max(follower.nextIndex, follower.matchIndex + 1)
     } else {
-      follower.next = Math.max(follower.match + 1, Math.min(reply.match + 1, log.lastIndex + 1))
+      follower.nextIndex = Math.max(follower.matchIndex + 1, Math.min(reply.match + 1, log.lastIndex + 1))
       follower.busyUntil = 0
     }
   }
@@ -204,15 +204,15 @@
   run (tick: LogTick): void {
     const replica = tick.tables.replica
     if (replica.role !== 'leader') return
-    const isHeartbeat = tick.now >= replica.heartbeatAt
+    const isHeartbeat = tick.now >= replica.nextHeartbeatAt
     if (isHeartbeat) {
       startRound(tick)
-      replica.heartbeatAt = tick.now + HEARTBEAT
+      replica.nextHeartbeatAt = tick.now + HEARTBEAT
     }
     for (const other of otherReplicas(tick.tables)) sendEntries(tick, other, followerOf(tick, other), isHeartbeat)
   }
 
   deadline (tables: ReplicaTables): Millis {
-    return tables.replica.role === 'leader' ? tables.replica.heartbeatAt : NEVER
+    return tables.replica.role === 'leader' ? tables.replica.nextHeartbeatAt : NEVER
   }
 }
--- a/src/replicated-log/types.ts
+++ b/src/replicated-log/types.ts
@@ -105,7 +105,7 @@
 }
 
 /** A question about the newest configuration, which a quorum must vouch for. */
-export interface ReadAsked { readonly kind: 'read', readonly call: CallId }
+export interface ReadRequested { readonly kind: 'read', readonly call: CallId }
 
 /** A quorum vouches for what this host holds, or an error says why it cannot be read here. */
 export interface ReadAnswered {
@@ -126,10 +126,10 @@
 /** What the leader knows about another replica. */
 export interface FollowerRow {
   readonly replica: ReplicaId
-  next: LogIndex
-  match: LogIndex
+  nextIndex: LogIndex
+  matchIndex: LogIndex
   /** When the newest round that it answered was sent. */
-  confirmedAt: Millis
+  ackedRoundSentAt: Millis
   /** Entries are in flight up to this time; then they are sent again. */
   busyUntil: Millis
 }
@@ -153,10 +153,10 @@
   /** When a leader was last heard. */
   leaderHeardAt: Millis
   electionAt: Millis
-  heartbeatAt: Millis
+  nextHeartbeatAt: Millis
   round: number
   /** When each unanswered round was sent. */
-  readonly rounds: Map<number, Millis>
+  readonly roundSendTimes: Map<number, Millis>
   readonly votes: Set<ReplicaId>
   /** Sequence of the last persist request, and of the last one that is synced. */
   persistSequence: number
--- a/src/retry-budget/retryBudget.spec.ts
+++ b/src/retry-budget/retryBudget.spec.ts
@@ -1,16 +1,16 @@
 import t from 'tap'
 import fc from 'fast-check'
 import { toId } from '../core/id.js'
-import { SavedRetries, SharedRetries } from './retryBudget.js'
+import { HostRetryBudget, FleetRetryBudget } from './retryBudget.js'
 
-const service = toId<Parameters<SharedRetries['noteFirst']>[0]>('s')
+const service = toId<Parameters<FleetRetryBudget['noteFirst']>[0]>('s')
 
 t.test('all hosts together stay within the budget in any span of sends', async t => {
   const ratio = 0.2
   const slack = 40
   const hosts = 8
   fc.assert(fc.property(fc.array(fc.record({ host: fc.nat(hosts - 1), retries: fc.nat(3) }), { maxLength: 400 }), sends => {
-    const budgets = Array.from({ length: hosts }, () => new SharedRetries({ ratio, slack }))
+    const budgets = Array.from({ length: hosts }, () => new FleetRetryBudget({ ratio, slack }))
     const firsts: number[] = [0]
     const retries: number[] = [0]
     for (const send of sends) {
@@ -34,7 +34,7 @@
 })
 
 t.test('without a shared budget sheds are free and failures are saved up for', async t => {
-  const budget = new SavedRetries()
+  const budget = new HostRetryBudget()
   t.equal(budget.take(service, 'shed'), true)
   let granted = 0
   while (budget.take(service, 'failure')) granted += 1
--- a/src/retry-budget/retryBudget.ts
+++ b/src/retry-budget/retryBudget.ts
@@ -9,7 +9,7 @@
 const RETRIES_PER_SUCCESS = 0.2
 
 /** The baseline: successes earn retries; a shed is paced by its server's pause instead. */
-export class SavedRetries implements RetryBudget {
+export class HostRetryBudget implements RetryBudget {
   readonly name = 'saved-up'
   #left = SAVED_RETRIES
 
@@ -26,7 +26,7 @@
 }
 
 /** A budget of the whole fleet: in any span, a part of first sends and a fixed number beyond it. */
-export interface FleetBudget {
+export interface FleetRetryLimits {
   /** Retries that each first send earns. */
   readonly ratio: number
   /** Retries of a service beyond that, of all entry hosts together. */
@@ -37,11 +37,11 @@
  * A bucket for each service: first sends earn retries, and what is saved up never passes this host's part of the slack,
  * so in any span the hosts together stay within the fleet's budget without talking to each other.
  */
-export class SharedRetries implements RetryBudget {
+export class FleetRetryBudget implements RetryBudget {
   readonly name = 'shared'
   readonly #saved = new Map<ServiceId, number>()
 
-  constructor (readonly terms: FleetBudget) {}
+  constructor (readonly terms: FleetRetryLimits) {}
 
   noteFirst (service: ServiceId): void {
     this.#saved.set(service, (this.#saved.get(service) ?? 0) + this.terms.ratio)
--- a/src/settings/loadSettings.ts
+++ b/src/settings/loadSettings.ts
@@ -37,7 +37,7 @@
 }
 
 /** Checks plain settings. */
-export const checkSettings = (raw: unknown): Outcome<Settings, SettingsError> => {
+export const validateSettings = (raw: unknown): Outcome<Settings, SettingsError> => {
   const parsed = settingsSchema.safeParse(raw)
   if (parsed.success) return ok(parsed.data)
   return fail({ kind: 'settings-invalid', problems: parsed.error.issues.map(issue => describeIssue(raw, issue)) })
@@ -48,7 +48,7 @@
   const document = parseDocument(text)
   const problem = document.errors[0]
   if (problem !== undefined) return fail({ kind: 'yaml-malformed', reason: problem.message.split('\n', 1)[0] ?? '' })
-  return checkSettings(document.toJS())
+  return validateSettings(document.toJS())
 }
 
 const fileKeys = ['fleetKeyFile', 'announcementKeyFile', 'clientBlocksFile', 'operatorsFile', 'dataFolder', 'recordFile'] as const
--- a/src/shift/shift.spec.ts
+++ b/src/shift/shift.spec.ts
@@ -4,7 +4,7 @@
 import { VirtualEntry } from '../stand-ins/virtualEntry.js'
 import { delayByRegion, createLocations } from '../stand-ins/virtualTopology.js'
 import { VirtualFleet } from '../stand-ins/virtualFleet.js'
-import { shiftOverCap } from '../invariants/shiftInvariant.js'
+import { countWindowsOverCap } from '../invariants/shiftInvariant.js'
 import { CappedShift, UncappedShift } from './shiftPolicy.js'
 import type { ShiftPolicy } from './shiftPolicy.js'
 
@@ -24,7 +24,7 @@
   return { fleet, entry }
 }
 
-const overCap = (entry: VirtualEntry, start: number, region: string): number => shiftOverCap(
+const overCap = (entry: VirtualEntry, start: number, region: string): number => countWindowsOverCap(
   entry.outcomes.filter(row => row.host.startsWith(region)).map(row => ({ at: row.sentAt, host: row.host })),
   entry.placements.filter(row => row.isAway && row.host.startsWith(region)).map(row => ({ at: row.placedAt, host: row.host })),
   start,
--- a/src/shift/shiftAccount.ts
+++ b/src/shift/shiftAccount.ts
@@ -17,7 +17,7 @@
 export const shiftSubjectOf = ({ route, service }: Pick<ExchangeRow, 'route' | 'service'>): string => route === null ? service : PLAN_SUBJECT
 
 /** The account of a subject, with its window rolled up to the present. */
-export const findShift = (tables: ShiftTables, subject: string, windowMs: Millis, now: Millis): ShiftRow => {
+export const findShiftAccount = (tables: ShiftTables, subject: string, windowMs: Millis, now: Millis): ShiftRow => {
   let row = tables.shifts.get(subject)
   if (row === undefined) {
     row = { subject, windowStart: now, total: 0, home: 0, away: 0, baseline: 0 }
@@ -51,10 +51,10 @@
   row.home + 1 <= Math.min(1, 1 - row.baseline + terms.shiftCap) * row.total + EPSILON
 
 /** Where one more request may go. */
-export interface OpenWays { readonly isHomeOpen: boolean, readonly isAwayOpen: boolean }
+export interface AllowedPlacements { readonly isHomeOpen: boolean, readonly isAwayOpen: boolean }
 
 /** Where one more request may go. One request cannot be split: when a small count closes both ways, the plan's own larger part stays open. */
-export const openWays = (row: ShiftRow, terms: Pick<ProfileTerms, 'shiftCap'>): OpenWays => {
+export const findAllowedPlacements = (row: ShiftRow, terms: Pick<ProfileTerms, 'shiftCap'>): AllowedPlacements => {
   const isHomeOpen = mayStayHome(row, terms)
   const isAwayOpen = mayGoAway(row, terms)
   if (isHomeOpen || isAwayOpen) return { isHomeOpen, isAwayOpen }
--- a/src/shift/shiftPolicy.ts
+++ b/src/shift/shiftPolicy.ts
@@ -5,7 +5,7 @@
 import type { RegionId } from '../core/id.js'
 import type { Millis } from '../core/tick.js'
 import type { ExchangeRow } from '../exchange/types.js'
-import { findAwayLimit, findShift, openWays } from './shiftAccount.js'
+import { findAwayLimit, findShiftAccount, findAllowedPlacements } from './shiftAccount.js'
 import type { ShiftTables } from './types.js'
 
 /** What a placement is decided from. */
@@ -64,8 +64,8 @@
 
   place (input: PlacementInput): Placement {
     const { tables, service, subject, terms, home, candidates, placement, isHomeLive, isAnyLive, waitedMs, isByRoute, now } = input
-    const account = findShift(tables, subject, terms.shiftWindowMs, now)
-    const ways = openWays(account, terms)
+    const account = findShiftAccount(tables, subject, terms.shiftWindowMs, now)
+    const ways = findAllowedPlacements(account, terms)
     const isHomeOpen = ways.isHomeOpen || placement === 'home'
     const isAwayOpen = ways.isAwayOpen || placement === 'away'
     const near = candidates.filter(row => row.announcement.region === home)
--- a/src/stand-ins/backendServer.ts
+++ b/src/stand-ins/backendServer.ts
@@ -4,7 +4,7 @@
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import { Agent } from 'undici'
-import { ANNOUNCEMENT_INTERVAL } from '../announcement/announcementSystem.js'
+import { ANNOUNCEMENT_INTERVAL_MS } from '../announcement/announcementSystem.js'
 
 /** Configuration of a fake backend server, read from JSON. */
 export interface BackendServerOptions {
@@ -76,7 +76,7 @@
     const bound = this.#server.address()
     if (typeof bound === 'object' && bound !== null) this.#port = bound.port
     await this.#announce()
-    this.#announcementTimer = setInterval(() => { void this.#announce() }, ANNOUNCEMENT_INTERVAL)
+    this.#announcementTimer = setInterval(() => { void this.#announce() }, ANNOUNCEMENT_INTERVAL_MS)
   }
 
   /** Announces the drain, finishes the running requests and stops. */
--- a/src/stand-ins/bookingLoad.ts
+++ b/src/stand-ins/bookingLoad.ts
@@ -7,7 +7,7 @@
 import type { EntryPolicies } from '../entry/entryWorld.js'
 import { RankedMaxMinQueue } from '../exchange/queuePolicy.js'
 import type { Plan } from '../plan/types.js'
-import { SharedRetries } from '../retry-budget/retryBudget.js'
+import { FleetRetryBudget } from '../retry-budget/retryBudget.js'
 import { ConfigurationBuilder, defaultTerms } from './configurationBuilder.js'
 import { VirtualEntry } from './virtualEntry.js'
 import { delayByRegion, createLocations } from './virtualTopology.js'
@@ -105,7 +105,7 @@
   const fleet = new VirtualFleet(9)
   fleet.network.delay = delayByRegion(REGION_DELAY_MS)
   const locations = createLocations(REGIONS, 2, 4)
-  const entry = new VirtualEntry(fleet, locations, new ConfigurationBuilder().run({ kind: 'put-plan', plan }).snapshot(), () => ({ ...defaultPolicies(), queue: new RankedMaxMinQueue(), retries: new SharedRetries({ ratio: 0.14, slack: 90 }), choice: new ExpectedLatency(), ...policies }))
+  const entry = new VirtualEntry(fleet, locations, new ConfigurationBuilder().run({ kind: 'put-plan', plan }).snapshot(), () => ({ ...defaultPolicies(), queue: new RankedMaxMinQueue(), retries: new FleetRetryBudget({ ratio: 0.14, slack: 90 }), choice: new ExpectedLatency(), ...policies }))
   const servers = addServers(entry)
   fleet.runFor(8_000)
   const start = fleet.now
--- a/src/stand-ins/fleet.spec.ts
+++ b/src/stand-ins/fleet.spec.ts
@@ -6,7 +6,7 @@
 import t from 'tap'
 import { stringify } from 'yaml'
 import { request } from 'undici'
-import { doubledRuns } from '../invariants/runInvariant.js'
+import { countDuplicateRuns } from '../invariants/runInvariant.js'
 import { Caller } from './caller.js'
 import type { CallerOutcome } from './caller.js'
 import { Fleet } from './fleet.js'
@@ -153,7 +153,7 @@
   for (const row of statistics) {
     for (const [idempotencyKey, count] of Object.entries(row.runsByKey)) runs.set(idempotencyKey, (runs.get(idempotencyKey) ?? 0) + count)
   }
-  t.equal(doubledRuns(runs), 0, 'no deposit ran twice')
+  t.equal(countDuplicateRuns(runs), 0, 'no deposit ran twice')
   t.equal(outcomes.filter(row => row.kind === 'wrong-answer').length, 0, 'every answer was the caller\'s own')
   t.equal(statistics.reduce((sum, row) => sum + row.keysSeen, 0), 0, 'no server saw a key')
   const wronglyNotRun = outcomes.filter(row => row.ran === 'not-run' && row.idempotencyKey !== null && (runs.get(row.idempotencyKey) ?? 0) > 0)
--- a/src/stand-ins/fleet.ts
+++ b/src/stand-ins/fleet.ts
@@ -109,7 +109,7 @@
 
   /** Returns the control hosts' addresses and the token of an operator. */
   target (operator: OperatorName): CallTarget {
-    return { controls: this.controlHosts.map(host => host.addresses.operators ?? ''), token: this.#tokens[operator] }
+    return { controlAddresses: this.controlHosts.map(host => host.addresses.operators ?? ''), token: this.#tokens[operator] }
   }
 
   /** Sends a command as the given operator; throws if it is rejected. */
--- a/src/stand-ins/localEntry.ts
+++ b/src/stand-ins/localEntry.ts
@@ -9,7 +9,7 @@
 import type { EntryInput, EntryOutput, EntryTables } from '../entry/types.js'
 import { AnnouncementServer } from '../front-end/announcementServer.js'
 import { CallerServer } from '../front-end/callerServer.js'
-import { ServiceDialect } from '../front-end/serviceDialect.js'
+import { ServiceProtocol } from '../front-end/serviceProtocol.js'
 import { BlockTable } from '../lookup/blockTable.js'
 import { Metrics } from '../observability/metrics.js'
 import type { Tracing } from '../observability/tracing.js'
@@ -71,7 +71,7 @@
   const callers = new CallerServer({
     host: LOCAL_HOST,
     listen: { address: ADDRESS, port: 0 },
-    dialect: new ServiceDialect(),
+    protocol: new ServiceProtocol(),
     limits: { bodyBytes: options.bodyBytes ?? 1024 * 1024, bufferedBodyBytes: 16 * 1024, headerBytes: 8 * 1024, connections: 1_000 },
     metrics,
     tracing: options.tracing ?? null,
--- a/src/stand-ins/virtualEntry.ts
+++ b/src/stand-ins/virtualEntry.ts
@@ -3,14 +3,14 @@
 import { toId } from '../core/id.js'
 import type { BackendId, ExchangeId, HostId, KeyDigest, RegionId, ServiceId, SiteId, WorkspaceId, ZoneId } from '../core/id.js'
 import type { Millis, World } from '../core/tick.js'
-import { ANNOUNCEMENT_INTERVAL } from '../announcement/announcementSystem.js'
+import { ANNOUNCEMENT_INTERVAL_MS } from '../announcement/announcementSystem.js'
 import type { Announcement } from '../announcement/types.js'
 import { installSnapshot } from '../configuration/configurationTables.js'
 import type { ConfigurationSnapshot } from '../configuration/types.js'
 import { createEntryWorld, defaultPolicies } from '../entry/entryWorld.js'
 import type { EntryPolicies } from '../entry/entryWorld.js'
 import type { EntryInput, EntryOutput, EntryTables } from '../entry/types.js'
-import type { AttemptResult, AttemptStarted, Refused, RequestReceived } from '../exchange/types.js'
+import type { AttemptResult, AttemptStarted, RequestRefused, RequestReceived } from '../exchange/types.js'
 import { BlockTable } from '../lookup/blockTable.js'
 import type { Member, Vouch } from '../membership/types.js'
 import type { VirtualFleet, VirtualNode } from './virtualFleet.js'
@@ -179,7 +179,7 @@
         node.inbox.push({ kind: 'announcement', announcement: { ...server.announcement, sequence } })
       }
     }
-    this.fleet.schedule(ANNOUNCEMENT_INTERVAL, () => { this.#announce(server, sequence + 1) })
+    this.fleet.schedule(ANNOUNCEMENT_INTERVAL_MS, () => { this.#announce(server, sequence + 1) })
   }
 
   #finish (exchange: ExchangeId, kind: VirtualOutcome['kind'], reason: string, ran: string): void {
@@ -200,7 +200,7 @@
     }
   }
 
-  #finishRefused (row: Refused): void { this.#finish(row.exchange, 'refused', row.reason, row.ran) }
+  #finishRefused (row: RequestRefused): void { this.#finish(row.exchange, 'refused', row.reason, row.ran) }
 
   // Only non-idempotent requests are counted: idempotent ones may run several times.
   #countRun (row: AttemptStarted): void {
--- a/src/suspicion/suspicionTopic.ts
+++ b/src/suspicion/suspicionTopic.ts
@@ -7,10 +7,10 @@
 export const suspicionTopic: RumorTopic<'suspicion'> = {
   key: rumor => `suspicion/${rumor.suspicion.suspect}`,
   version: ({ suspicion }) => `${suspicion.crashes.length} ${suspicion.cleared.length}`,
-  isRepeated: true,
+  isRetransmitted: true,
   merge: (tick, rumor) => mergeSuspicion(tick.tables, rumor.suspicion, tick.now) !== null,
   all: function * (tables) {
     for (const row of tables.suspicions.rows()) yield { topic: 'suspicion', suspicion: row.suspicion }
   },
-  aged: rumor => rumor
+  withAddedAge: rumor => rumor
 }
--- a/src/warmup/coldGate.ts
+++ b/src/warmup/coldGate.ts
@@ -2,7 +2,7 @@
 
 import type { BackendRow } from '../announcement/types.js'
 import type { Configuration } from '../configuration/configurationTables.js'
-import { isAmongFirst } from '../core/rendezvous.js'
+import { isAmongTopRanked } from '../core/rendezvous.js'
 import type { Millis } from '../core/tick.js'
 import type { MembershipTables } from '../membership/types.js'
 
@@ -33,12 +33,12 @@
 export const mayWarm = (tables: ColdTables, row: BackendRow, now: Millis): boolean => {
   const warmup = tables.configuration.services.get(row.announcement.service)?.warmup ?? null
   if (warmup === null) return true
-  row.coldStarts = row.coldStarts.filter(at => now - at < SECOND)
-  if (row.coldStarts.length + 1 > warmup.ratePerS / COLD_SENDERS) return false
-  return isAmongFirst(row.key, tables.gossip.self.host, possibleSenders(tables, row), COLD_SENDERS)
+  row.coldSendTimes = row.coldSendTimes.filter(at => now - at < SECOND)
+  if (row.coldSendTimes.length + 1 > warmup.ratePerS / COLD_SENDERS) return false
+  return isAmongTopRanked(row.key, tables.gossip.self.host, possibleSenders(tables, row), COLD_SENDERS)
 }
 
 /** Counts a request that is sent to a cold server. */
 export const noteColdStart = (row: BackendRow, now: Millis): void => {
-  if (isCold(row, now)) row.coldStarts.push(now)
+  if (isCold(row, now)) row.coldSendTimes.push(now)
 }
