--- a/src/admission/lending.spec.ts
+++ b/src/admission/lending.spec.ts
@@ -1,9 +1,9 @@
 import t from 'tap'
 import { toId } from '../core/id.js'
 import type { HostId } from '../core/id.js'
-import { ConfigurationBuilder, ordinaryTerms } from '../stand-ins/configurationBuilder.js'
+import { ConfigurationBuilder, defaultTerms } from '../stand-ins/configurationBuilder.js'
 import { VirtualEntry } from '../stand-ins/virtualEntry.js'
-import type { VirtualPlace } from '../stand-ins/virtualPlaces.js'
+import type { HostLocation } from '../stand-ins/virtualTopology.js'
 import { VirtualFleet } from '../stand-ins/virtualFleet.js'
 import { LOAN_DURATION_MS, createAllowance, lend, lenderLoanExpiry, refill, resize, spendableTokens, applySettlement, takePendingSettlements, takeToken } from './allowanceBucket.js'
 import type { AllowanceRow } from './types.js'
@@ -64,11 +64,11 @@
   t.matchSnapshot({ served, first, second: takePendingSettlements(bucket, lender), third: takePendingSettlements(bucket, lender) })
 })
 
-const places: VirtualPlace[] = ['n1-1', 'n1-2'].map(host => ({ host, zone: 'n1', region: 'n' }))
+const places: HostLocation[] = ['n1-1', 'n1-2'].map(host => ({ host, zone: 'n1', region: 'n' }))
 
 t.test('ignores duplicate, late and unsolicited grants', async t => {
   const fleet = new VirtualFleet(1)
-  const entry = new VirtualEntry(fleet, places, new ConfigurationBuilder().profile(ordinaryTerms).service('s').hosts(places).workspace('w', 20, 10).snapshot())
+  const entry = new VirtualEntry(fleet, places, new ConfigurationBuilder().profile(defaultTerms).service('s').hosts(places).workspace('w', 20, 10).snapshot())
   fleet.runFor(6_000)
   const host = toId<HostId>('n1-1')
   const lender = toId<HostId>('n1-2')
@@ -78,7 +78,7 @@
     return found
   }
   // Partitions the network, so that only the grants pushed by this test arrive.
-  fleet.network.isCut = () => true
+  fleet.network.isPartitioned = () => true
   for (let n = 0; n < 8; n += 1) entry.send('n1-1', { service: 's', workspace: 'w' })
   fleet.runFor(1)
   const asks = [...allowance().pendingAsks.keys()]
--- a/src/replicated-log/automaticGroup.spec.ts
+++ b/src/replicated-log/automaticGroup.spec.ts
@@ -40,11 +40,11 @@
     fleet.runFor(9_000)
     const leader = leaderOf(control)
     const call = control.propose(leader, evacuate('z'))
-    while (!control.answers.has(call)) fleet.runFor(1)
-    t.equal(control.answers.get(call)?.error, null)
+    while (!control.proposalAnswers.has(call)) fleet.runFor(1)
+    t.equal(control.proposalAnswers.get(call)?.error, null)
     for (const name of control.hosts) control.kill(name)
     const wiped = [leader, ...control.hosts.filter(name => name !== leader)].slice(0, 2)
-    for (const name of wiped) control.loseDisk(name)
+    for (const name of wiped) control.wipeDisk(name)
     fleet.runFor(1_000)
     for (const name of control.hosts) control.start(name)
     fleet.runFor(12_000)
@@ -75,11 +75,11 @@
   const atLeader = control.read(leader)
   const atFollower = control.read(follower)
   fleet.runFor(1_000)
-  fleet.network.isCut = (a, b) => a === leader || b === leader
+  fleet.network.isPartitioned = (a, b) => a === leader || b === leader
   const whenCut = control.read(leader)
   fleet.runFor(5_000)
   t.matchSnapshot([atLeader, atFollower, whenCut].map(call => {
-    const error = control.reads.get(call)?.error
+    const error = control.readAnswers.get(call)?.error
     return error === null ? 'vouched' : error?.kind ?? 'no answer'
   }))
 })
@@ -113,7 +113,7 @@
     fleet.runFor(1_000)
     const startTimes = new Map(control.hosts.map((name, position) => [name, fleet.now + (START_DELAYS_MS[position] ?? 0)]))
     const connectedAt = (name: HostId): number => (startTimes.get(name) ?? 0) + CONNECT_DELAY_MS
-    fleet.network.isCut = (from, to) => fleet.now < Math.max(connectedAt(from), connectedAt(to))
+    fleet.network.isPartitioned = (from, to) => fleet.now < Math.max(connectedAt(from), connectedAt(to))
     for (const [name, at] of startTimes) fleet.schedule(at - fleet.now, () => { control.start(name) })
     const lastAt = Math.max(...startTimes.values()) + CONNECT_DELAY_MS
     fleet.runUntil(lastAt)
