--- a/src/bench/latency.ts
+++ b/src/bench/latency.ts
@@ -30,9 +30,9 @@
   for (let round = 0; round < WARM_UP_ROUNDS + MEASURED_ROUNDS; round += 1) {
     for (const variant of variants) {
       const start = performance.now()
-      const answer = await agent.request({ origin: variant.origin, path: variant.path, method: 'GET', headers: { authorization: `Bearer ${KEY}` } })
-      await answer.body.dump()
-      if (answer.statusCode !== 200) throw new Error(`${variant.name}: request failed with status ${answer.statusCode}`)
+      const response = await agent.request({ origin: variant.origin, path: variant.path, method: 'GET', headers: { authorization: `Bearer ${KEY}` } })
+      await response.body.dump()
+      if (response.statusCode !== 200) throw new Error(`${variant.name}: request failed with status ${response.statusCode}`)
       if (round >= WARM_UP_ROUNDS) variant.times.push(performance.now() - start)
     }
   }
--- a/src/bench/lookupCaller.ts
+++ b/src/bench/lookupCaller.ts
@@ -11,9 +11,9 @@
   let answered = 0
   await Promise.all(Array.from({ length: connections }, async () => {
     while (performance.now() < endAt) {
-      const answer = await agent.request({ origin, path: '/v1/lookup?service=lookup', method: 'GET' })
-      await answer.body.dump()
-      if (answer.statusCode === 200) answered += 1
+      const response = await agent.request({ origin, path: '/v1/lookup?service=lookup', method: 'GET' })
+      await response.body.dump()
+      if (response.statusCode === 200) answered += 1
     }
   }))
   await agent.close()
--- a/src/bench/runScenario.ts
+++ b/src/bench/runScenario.ts
@@ -122,8 +122,8 @@
   const withinRate = scenario.workspaces.filter(row => !exceedsRate(row.workspace))
   const outcomesOf = (workspace: string): VirtualOutcome[] => entry.outcomes.filter(row => row.workspace === workspace)
   const withinRateOutcomes = withinRate.flatMap(row => outcomesOf(row.workspace))
-  const servedFractions = withinRate.map(row => ({ workspace: row.workspace, share: outcomesOf(row.workspace).filter(outcome => outcome.kind === 'served').length / Math.max(1, outcomesOf(row.workspace).length) }))
-  const worst = servedFractions.sort((a, b) => a.share - b.share)[0]
+  const servedFractions = withinRate.map(row => ({ workspace: row.workspace, servedFraction: outcomesOf(row.workspace).filter(outcome => outcome.kind === 'served').length / Math.max(1, outcomesOf(row.workspace).length) }))
+  const worst = servedFractions.sort((a, b) => a.servedFraction - b.servedFraction)[0]
   const latencies = withinRateOutcomes.filter(row => row.kind === 'served').map(row => row.endedAt - row.sentAt).sort((a, b) => a - b)
   let maxGrantsOver = 0
   for (const row of scenario.workspaces) {
@@ -137,7 +137,7 @@
     requests: entry.sentCount,
     served: entry.outcomes.filter(row => row.kind === 'served').length,
     wrongfulRefusals: withinRateOutcomes.filter(row => row.reason === 'over-rate').length / Math.max(1, withinRateOutcomes.length),
-    worstServed: worst?.share ?? 1,
+    worstServed: worst?.servedFraction ?? 1,
     worstWorkspace: worst?.workspace ?? '',
     p50: quantile(latencies, 0.5),
     p99: quantile(latencies, 0.99),
--- a/src/command-line/main.ts
+++ b/src/command-line/main.ts
@@ -83,10 +83,10 @@
 }
 
 const callOrExit = async (options: CommandOptions, method: 'GET' | 'POST', path: string, body: unknown, requestId: string): Promise<unknown> => {
-  const answer = await callControl(requireTarget(options), method, path, body, requestId)
-  if (answer.tag === 'ok') return answer.value
-  const code = answer.error.kind === 'refused' ? exitCodes.refused : exitCodes.outcomeUnknown
-  return exitWithError(describeCallError(answer.error), code)
+  const outcome = await callControl(requireTarget(options), method, path, body, requestId)
+  if (outcome.tag === 'ok') return outcome.value
+  const code = outcome.error.kind === 'refused' ? exitCodes.refused : exitCodes.outcomeUnknown
+  return exitWithError(describeCallError(outcome.error), code)
 }
 
 const requestIdOf = (options: CommandOptions): string =>
@@ -118,8 +118,8 @@
   if (typeof options.host !== 'string') return exitWithError('--host HOST:PORT is missing', exitCodes.wrongUse)
   const query = subject === undefined ? '' : `?subject=${encodeURIComponent(subject)}`
   try {
-    const answer = await request(`http://${options.host}/explain${query}`)
-    printJson(options, await answer.body.json())
+    const response = await request(`http://${options.host}/explain${query}`)
+    printJson(options, await response.body.json())
   } catch {
     exitWithError(`no response from ${options.host}`, exitCodes.outcomeUnknown)
   }
--- a/src/command-line/operatorClient.ts
+++ b/src/command-line/operatorClient.ts
@@ -35,9 +35,9 @@
   }
 }
 
-interface Reply { readonly status: number, readonly body: unknown }
+interface CallResponse { readonly status: number, readonly body: unknown }
 
-const callOnce = async (target: CallTarget, control: string, method: 'GET' | 'POST', path: string, body: unknown, requestId: string): Promise<Reply | string> => {
+const callOnce = async (target: CallTarget, control: string, method: 'GET' | 'POST', path: string, body: unknown, requestId: string): Promise<CallResponse | string> => {
   try {
     const response = await request(`http://${control}${path}`, {
       method,
@@ -52,17 +52,17 @@
   }
 }
 
-const isFinal = (reply: Reply): boolean => reply.status !== STATUS_NOT_LEADER && reply.status !== STATUS_OUTCOME_UNKNOWN
+const isFinal = (response: CallResponse): boolean => response.status !== STATUS_NOT_LEADER && response.status !== STATUS_OUTCOME_UNKNOWN
 
-/** Calls the control hosts in turn until one gives a final answer, for at most 20 rounds with pauses of 500 ms. */
+/** Calls the control hosts in turn until one returns a final response, for at most 20 rounds with pauses of 500 ms. */
 export const callControl = async (target: CallTarget, method: 'GET' | 'POST', path: string, body: unknown, requestId: string): Promise<Outcome<unknown, CallError>> => {
   let lastProblem = 'no control host was specified'
   for (let round = 0; round < MAX_ROUNDS; round += 1) {
     for (const control of target.controlAddresses) {
-      const reply = await callOnce(target, control, method, path, body, requestId)
-      if (typeof reply === 'string') lastProblem = `${control}: ${reply}`
-      else if (isFinal(reply)) return reply.status === 200 ? ok(reply.body) : fail({ kind: 'refused', status: reply.status, detail: reply.body })
-      else lastProblem = `${control}: ${reply.status === STATUS_NOT_LEADER ? 'not the leader' : 'outcome unknown'}`
+      const response = await callOnce(target, control, method, path, body, requestId)
+      if (typeof response === 'string') lastProblem = `${control}: ${response}`
+      else if (isFinal(response)) return response.status === 200 ? ok(response.body) : fail({ kind: 'refused', status: response.status, detail: response.body })
+      else lastProblem = `${control}: ${response.status === STATUS_NOT_LEADER ? 'not the leader' : 'outcome unknown'}`
     }
     await new Promise(resolve => setTimeout(resolve, ROUND_PAUSE_MS))
   }
--- a/src/control/controlWorld.ts
+++ b/src/control/controlWorld.ts
@@ -81,7 +81,7 @@
 /** Creates the world of a control host from its disk image. */
 export const createControlWorld = (options: ControlWorldOptions): World<ControlTables, ControlInput, ControlOutput> => {
   const random = new SeededRandom(options.randomSeed)
-  const partners = new PeerSelector()
+  const peerSelector = new PeerSelector()
   const systems = [
     new GossipReceiveSystem(),
     new ReportSystem(),
@@ -94,8 +94,8 @@
     new ReadSystem(),
     new ReplicationSendSystem(),
     new BeliefSystem<ControlTables>([new PeerSource(), new BackendSource(), new ConfigurationSource(), new QuorumSource(), new LeaderSource()]),
-    new ProbeSystem(partners),
-    new SpreadSystem(partners, createFanout(options.gossipFanout ?? 'epidemic', partners))
+    new ProbeSystem(peerSelector),
+    new SpreadSystem(peerSelector, createFanout(options.gossipFanout ?? 'epidemic', peerSelector))
   ] as Array<System<ControlTables, ControlInput, ControlOutput>>
   const electionAt = options.now + STARTUP_GRACE_MS + random.below(STARTUP_GRACE_MS)
   return { tables: createTables(options, electionAt), systems, random }
--- a/src/control/types.ts
+++ b/src/control/types.ts
@@ -18,7 +18,7 @@
 /** Answers to operators' calls. */
 export type OperatorCallAnswered = ProposalAnswered | ReadAnswered
 
-/** Rows that the front end returns to the client of a call or look-up. */
+/** Rows with which the front end answers calls and look-ups. */
 export type ControlAnswer = OperatorCallAnswered | LookupAnswered
 
 /** Rows of the outbox. */
--- a/src/core/runner.ts
+++ b/src/core/runner.ts
@@ -62,7 +62,7 @@
     const deadline = nextDeadline(this.world)
     if (deadline === NEVER || this.#scheduled) return
     // A timer may fire up to 1 ms early. Rounding up avoids a tick before the deadline.
-    const delay = Math.min(MAX_TIMER_DELAY_MS, Math.max(1, Math.ceil(deadline - this.clock())))
-    this.#timer = setTimeout(this.#tick, delay)
+    const delayMs = Math.min(MAX_TIMER_DELAY_MS, Math.max(1, Math.ceil(deadline - this.clock())))
+    this.#timer = setTimeout(this.#tick, delayMs)
   }
 }
--- a/src/entry/entryWorld.ts
+++ b/src/entry/entryWorld.ts
@@ -134,7 +134,7 @@
 
 /** Creates the world of an entry host, with empty tables. */
 export const createEntryWorld = (options: EntryWorldOptions): World<EntryTables, EntryInput, EntryOutput> => {
-  const partners = new PeerSelector()
+  const peerSelector = new PeerSelector()
   const systems: Array<System<EntryTables, EntryInput, EntryOutput>> = [
     new GossipReceiveSystem(),
     new AnnouncementSystem(),
@@ -147,8 +147,8 @@
     new DispatchSystem(options.policies),
     new StopSystem(),
     new BeliefSystem<EntryTables>([new PeerSource(), new BackendSource(), new ConfigurationSource(), new QuorumSource()]),
-    new ProbeSystem(partners),
-    new SpreadSystem(partners, createFanout(options.gossipFanout ?? 'epidemic', partners))
+    new ProbeSystem(peerSelector),
+    new SpreadSystem(peerSelector, createFanout(options.gossipFanout ?? 'epidemic', peerSelector))
   ] as Array<System<EntryTables, EntryInput, EntryOutput>>
   return { tables: createTables(options), systems, random: new SeededRandom(options.randomSeed) }
 }
--- a/src/entry/readiness.spec.ts
+++ b/src/entry/readiness.spec.ts
@@ -19,11 +19,11 @@
 
 t.test('a host is ready once it has a configuration, an available server and refilling token buckets', async t => {
   const fleet = new VirtualFleet(1)
-  const [place] = createLocations(['n'], 1, 1)
-  if (place === undefined) throw new Error('no place')
-  const entry = new VirtualEntry(fleet, [place], new ConfigurationBuilder().run({ kind: 'put-plan', plan }).snapshot())
+  const [location] = createLocations(['n'], 1, 1)
+  if (location === undefined) throw new Error('no location')
+  const entry = new VirtualEntry(fleet, [location], new ConfigurationBuilder().run({ kind: 'put-plan', plan }).snapshot())
   const startedAt = fleet.now
-  const isReadyNow = (): boolean => isReady(entry.tables(place.host), fleet.now)
+  const isReadyNow = (): boolean => isReady(entry.tables(location.host), fleet.now)
   entry.addServer('s', 'one', 'n1', 6, 20)
   fleet.runUntil(lenderLoanExpiry(startedAt) - 1)
   const beforeLoansEnd = isReadyNow()
@@ -35,7 +35,7 @@
   entry.addServer('s', 'two', 'n1', 6, 20)
   fleet.runFor(2_000)
   const withAnother = isReadyNow()
-  fleet.push(toId(place.host), { kind: 'stop' })
+  fleet.push(toId(location.host), { kind: 'stop' })
   fleet.runFor(10)
   t.matchSnapshot({ beforeLoansEnd, after, withoutServer, withAnother, leaving: isReadyNow() })
 })
--- a/src/front-end/callerServer.spec.ts
+++ b/src/front-end/callerServer.spec.ts
@@ -168,13 +168,13 @@
   let count = 0
   await fixture.addServer('b1', (request, response) => {
     count += 1
-    const delay = count === 1 ? 600 : 0
-    setTimeout(() => { response.end(`answer to ${request.url ?? ''}`) }, delay)
+    const delayMs = count === 1 ? 600 : 0
+    setTimeout(() => { response.end(`answer to ${request.url ?? ''}`) }, delayMs)
   })
   const late = await sendRequest(fixture, '/services/coupons/first', { method: 'POST', headers: { 'rhubarbseam-timeout-ms': '200' }, body: 'x' })
   t.same([late.status, late.ran], [502, 'unknown'])
-  const answers = await Promise.all(['a', 'b', 'c'].map(async name => (await sendRequest(fixture, `/services/coupons/${name}`)).text))
-  t.same(answers, ['answer to /a', 'answer to /b', 'answer to /c'])
+  const responses = await Promise.all(['a', 'b', 'c'].map(async name => (await sendRequest(fixture, `/services/coupons/${name}`)).text))
+  t.same(responses, ['answer to /a', 'answer to /b', 'answer to /c'])
 })
 
 t.test('an idempotent request on a connection that went silent is retried at another server', async t => {
@@ -184,8 +184,8 @@
   t.equal((await sendRequest(fixture, '/services/coupons/item')).text, 'from the first')
   isSilent.now = true
   await fixture.addServer('other', (_request, response) => { response.end('from the other') })
-  const answers = await Promise.all([1, 2, 3, 4].map(async () => (await sendRequest(fixture, '/services/coupons/item')).text))
-  t.same(new Set(answers), new Set(['from the other']))
+  const responses = await Promise.all([1, 2, 3, 4].map(async () => (await sendRequest(fixture, '/services/coupons/item')).text))
+  t.same(new Set(responses), new Set(['from the other']))
 })
 
 t.test('a request that a server sheds, or that cannot reach its server, is retried at another server', async t => {
--- a/src/front-end/eventLoopMonitor.ts
+++ b/src/front-end/eventLoopMonitor.ts
@@ -3,7 +3,7 @@
 import { performance } from 'node:perf_hooks'
 import type { EventLoopUtilization } from 'node:perf_hooks'
 
-/** Least time over which the utilization is measured. */
+/** Minimum time over which the utilization is measured. */
 const SAMPLE_INTERVAL_MS = 100
 /** Utilization above which the loop counts as saturated, 0 to 1. */
 const MAX_UTILIZATION = 0.95
--- a/src/gossip/gossip.spec.ts
+++ b/src/gossip/gossip.spec.ts
@@ -9,7 +9,7 @@
 import { VirtualControl } from '../stand-ins/virtualControl.js'
 import { VirtualFleet } from '../stand-ins/virtualFleet.js'
 
-const places = createLocations(['n', 'm', 's'], 2, 4)
+const locations = createLocations(['n', 'm', 's'], 2, 4)
 
 const id = (name: string): HostId => toId<HostId>(name)
 
@@ -28,9 +28,9 @@
   fleet.network.delay = delayByRegion(27)
   const control = new VirtualControl(fleet, ['n1-c', 'm1-c', 's1-c'])
   const empty = new ConfigurationBuilder().snapshot()
-  const entry = new VirtualEntry(fleet, places, { ...empty, index: 0 })
-  for (const place of places) {
-    const tables = entry.tables(place.host)
+  const entry = new VirtualEntry(fleet, locations, { ...empty, index: 0 })
+  for (const location of locations) {
+    const tables = entry.tables(location.host)
     tables.gossip.vouch = null
     tables.gossip.confirmedAt = null
     tables.members.put({ member: control.tables(id('n1-c')).gossip.self, changedAt: 0, index: 0 })
@@ -52,14 +52,14 @@
   run({ kind: 'put-service', service: toId('lookup'), expectedVersion: 0, profile: toId('careful'), profileVersion: 1, timeoutMs: 2_000, openPaths: [] })
   run({ kind: 'put-workspace', workspace: toId('w'), expectedVersion: 0, rate: 10_000, burst: 10_000, weight: 1 })
   run({ kind: 'give-key', digest: keyDigestOf('w'), workspace: toId('w') })
-  const parts = Math.floor(10_000 / places.length)
-  for (const place of places) run({ kind: 'register-host', entryHost: { host: id(place.host), region: toId(place.region), zone: toId(place.zone), site: toId(place.zone), parts } })
+  const parts = Math.floor(10_000 / locations.length)
+  for (const location of locations) run({ kind: 'register-host', entryHost: { host: id(location.host), region: toId(location.region), zone: toId(location.zone), site: toId(location.zone), parts } })
   for (const zone of ['n1', 'n2', 'm1', 'm2', 's1', 's2']) entry.addServer('lookup', `server-${zone}`, zone, 6, 5)
   fleet.runFor(6_000)
   return { fleet, control, entry, leader, run }
 }
 
-const indexes = ({ entry }: Fleet): number[] => places.map(place => entry.tables(place.host).configuration.index)
+const indexes = ({ entry }: Fleet): number[] => locations.map(location => entry.tables(location.host).configuration.index)
 
 const sendRequests = (fleet: Fleet, hosts: readonly string[]): Record<string, number> => {
   const before = fleet.entry.outcomes.length
@@ -73,7 +73,7 @@
   return counts
 }
 
-const everyHost = places.map(place => place.host)
+const everyHost = locations.map(location => location.host)
 
 t.test('an accepted change is in force on every host within two seconds', async t => {
   const fleet = start(1)
@@ -90,7 +90,7 @@
 
 t.test('a key withdrawn at a control host without a quorum is rejected by all hosts that it can reach', async t => {
   const fleet = start(2)
-  t.same(sendRequests(fleet, everyHost), { served: places.length })
+  t.same(sendRequests(fleet, everyHost), { served: locations.length })
   // Zone n1 keeps its control host but is partitioned from all other zones.
   fleet.fleet.network.isPartitioned = (from, to) => from.startsWith('n1') !== to.startsWith('n1')
   fleet.fleet.runFor(3_000)
@@ -110,21 +110,21 @@
   const fleet = start(3)
   const before = takeSnapshot(fleet.entry.tables('n1-1').configuration)
   fleet.run({ kind: 'withdraw-key', digest: keyDigestOf('w') })
-  const place = places[5]
-  if (place === undefined) throw new Error('no place')
-  const node = fleet.fleet.nodes.get(id(place.host))
+  const location = locations[5]
+  if (location === undefined) throw new Error('no location')
+  const node = fleet.fleet.nodes.get(id(location.host))
   if (node !== undefined) node.isDown = true
-  fleet.fleet.network.isPartitioned = (from, to) => from === place.host || to === place.host
-  fleet.entry.startHost(place, false)
-  const alone = sendRequests(fleet, [place.host])
+  fleet.fleet.network.isPartitioned = (from, to) => from === location.host || to === location.host
+  fleet.entry.startHost(location, false)
+  const alone = sendRequests(fleet, [location.host])
   // An unconfirmed configuration must not be used: its key has been withdrawn since.
-  const tables = fleet.entry.tables(place.host)
+  const tables = fleet.entry.tables(location.host)
   installSnapshot(tables.configuration, { ...before, index: 1 })
-  const unvouched = sendRequests(fleet, [place.host])
+  const unvouched = sendRequests(fleet, [location.host])
   tables.configuration.index = 0
   fleet.fleet.network.isPartitioned = () => false
   fleet.fleet.runFor(10_000)
-  t.matchSnapshot({ alone, unvouched, caughtUp: sendRequests(fleet, [place.host]) })
+  t.matchSnapshot({ alone, unvouched, caughtUp: sendRequests(fleet, [location.host]) })
 })
 
 t.test('a zone that is partitioned off serves or refuses as its profile says', async t => {
@@ -139,21 +139,21 @@
 
 t.test('a host that missed hundreds of changes catches up, and no index decreases', async t => {
   const fleet = start(5)
-  const place = places[7]
-  const node = fleet.fleet.nodes.get(id(place?.host ?? ''))
+  const location = locations[7]
+  const node = fleet.fleet.nodes.get(id(location?.host ?? ''))
   if (node === undefined) throw new Error('no node')
   node.isFrozen = true
   let highestIndex = 0
   for (let n = 0; n < 600; n += 1) {
     fleet.control.propose(fleet.leader(), envelope(`c${n}`, { kind: 'put-workspace', workspace: toId(`x${n}`), expectedVersion: 0, rate: 1, burst: 1, weight: 1 }))
     fleet.fleet.runFor(50)
-    const index = entryIndex(fleet, places[0]?.host ?? '')
+    const index = entryIndex(fleet, locations[0]?.host ?? '')
     if (index < highestIndex) t.fail(`index decreased from ${highestIndex} to ${index}`)
     highestIndex = index
   }
   node.isFrozen = false
   const before = fleet.fleet.now
-  while (entryIndex(fleet, place?.host ?? '') < fleet.control.tables(fleet.leader()).configuration.index && fleet.fleet.now - before < 30_000) fleet.fleet.runFor(50)
+  while (entryIndex(fleet, location?.host ?? '') < fleet.control.tables(fleet.leader()).configuration.index && fleet.fleet.now - before < 30_000) fleet.fleet.runFor(50)
   t.ok(fleet.fleet.now - before < 7_000, `caught up after ${fleet.fleet.now - before} ms`)
 })
 
--- a/src/observability/tracing.spec.ts
+++ b/src/observability/tracing.spec.ts
@@ -58,10 +58,10 @@
   const headers = { authorization: `Bearer ${KEY}`, traceparent: `00-${TRACE}-${PARENT}-01` }
   // After a start, a token bucket is not refilled for the duration of a loan.
   await new Promise(resolve => setTimeout(resolve, 500))
-  const answer = await request(`http://127.0.0.1:${entry.callerPort}/services/coupons/item`, { headers })
-  await answer.body.dump()
+  const response = await request(`http://127.0.0.1:${entry.callerPort}/services/coupons/item`, { headers })
+  await response.body.dump()
   await (await request(`http://127.0.0.1:${entry.callerPort}/v1/lookup?service=coupons`, { headers })).body.dump()
-  t.equal(answer.statusCode, 200)
+  t.equal(response.statusCode, 200)
   await new Promise(resolve => setTimeout(resolve, 50))
   await tracing.stop()
   const byName = new Map(spans.map(span => [span.name, span]))
--- a/src/process/launcher.ts
+++ b/src/process/launcher.ts
@@ -38,7 +38,7 @@
   const state: CodeCacheState = cachedData === undefined ? 'absent' : script.cachedDataRejected === true ? 'rejected' : 'used'
   process.argv.push(`${CODE_CACHE_ARGUMENT}${state}`)
   const module = { exports: {} }
-  const program = script.runInThisContext() as (...parts: unknown[]) => void
+  const program = script.runInThisContext() as (...args: unknown[]) => void
   program.call(module.exports, module.exports, createRequire(PROGRAM_FILE), module, PROGRAM_FILE, dirname(PROGRAM_FILE))
 }
 
--- a/src/replicated-log/diskStore.ts
+++ b/src/replicated-log/diskStore.ts
@@ -1,6 +1,6 @@
 /**
- * The log on disk: one append-only file that is replaced atomically when a snapshot is written. It does I/O, so it runs at the
- * edge and never inside a system.
+ * The log on disk: one append-only file that is replaced atomically when a snapshot is written. It does I/O, so it is used by
+ * the runtime and never by a system.
  */
 
 import { closeSync, existsSync, fsync, fsyncSync, ftruncateSync, mkdirSync, openSync, readFileSync, renameSync, write, writeSync } from 'node:fs'
--- a/src/replicated-log/logProtocol.spec.ts
+++ b/src/replicated-log/logProtocol.spec.ts
@@ -238,12 +238,12 @@
   t.equal(control.tables(down).replica.snapshot?.index, control.tables(leader).replica.snapshot?.index, 'the snapshot was installed')
 })
 
-interface Step { readonly kind: 'kill' | 'start' | 'cut' | 'heal' | 'freeze' | 'thaw' | 'propose', readonly target: number, readonly pause: number }
+interface Step { readonly kind: 'kill' | 'start' | 'cut' | 'heal' | 'freeze' | 'thaw' | 'propose', readonly target: number, readonly pauseMs: number }
 
 const steps = fc.array(fc.record({
   kind: fc.constantFrom<Step['kind']>('kill', 'start', 'start', 'cut', 'heal', 'heal', 'freeze', 'thaw', 'thaw', 'propose', 'propose', 'propose', 'propose'),
   target: fc.nat(2),
-  pause: fc.integer({ min: 1, max: 1_500 })
+  pauseMs: fc.integer({ min: 1, max: 1_500 })
 }), { minLength: 20, maxLength: 60 })
 
 const runSteps = (seed: number, plan: readonly Step[], network: { loss: number, doubled: number, jitter: number }, syncMs: number): string[] => {
@@ -256,8 +256,8 @@
   const pendingCalls = new Map<CallId, string>()
   const cut = new Set<HostId>()
   fleet.network.isPartitioned = (from, to) => cut.has(from) !== cut.has(to)
-  const advance = (duration: number): void => {
-    for (let left = duration; left > 0; left -= 10) {
+  const advance = (durationMs: number): void => {
+    for (let left = durationMs; left > 0; left -= 10) {
       fleet.runFor(Math.min(10, left))
       checker.check(control, fleet)
     }
@@ -280,7 +280,7 @@
       const expected = control.tables(target).configuration.workspaces.get(toId<WorkspaceId>(workspace))?.version ?? 0
       pendingCalls.set(control.propose(target, putWorkspace(`op${step.target}`, `r${count}`, workspace, expected)), workspace)
     }
-    advance(step.pause)
+    advance(step.pauseMs)
   }
   Object.assign(fleet.network, { loss: 0, doubled: 0, jitter: 0 })
   cut.clear()
--- a/src/replicated-log/replicationSystem.ts
+++ b/src/replicated-log/replicationSystem.ts
@@ -151,8 +151,8 @@
     this.#reply(tick, from, message.round, true, match)
   }
 
-  // A replica without a group has no address for the leader. This row lets it reply: with the empty address the edge only uses
-  // an existing link.
+  // A replica without a group has no address for the leader. This row lets it reply: as its address is empty, the reply is sent
+  // only over an existing link.
   #recordSender (tick: LogTick, from: HostId, replica: Replica['replica']): void {
     if (findReplicaOnHost(tick.tables, from) !== undefined) return
     tick.tables.joining.put({ replica, host: from, link: { address: '', port: 0 }, heardAt: tick.now })
--- a/src/replicated-log/types.ts
+++ b/src/replicated-log/types.ts
@@ -1,4 +1,4 @@
-/** The replicated log on the control hosts: Raft with pre-vote, check quorum, snapshots and single-step member changes. */
+/** The replicated log on the control hosts: Raft with pre-vote, check-quorum, snapshots and single-step membership changes. */
 
 import type { HostId, Id } from '../core/id.js'
 import type { RowTable } from '../core/table.js'
