--- a/src/front-end/announcementServer.ts
+++ b/src/front-end/announcementServer.ts
@@ -12,7 +12,6 @@
 
 const MAX_BODY_BYTES = 4_096
 
-/** Options of the announcement server. */
 export interface AnnouncementServerOptions {
   readonly listen: Address
   /** Returns the accepted tokens. */
--- a/src/front-end/callerServer.ts
+++ b/src/front-end/callerServer.ts
@@ -32,7 +32,6 @@
 const MS_PER_SECOND = 1_000
 const MAX_REQUEST_ID_LENGTH = 128
 
-/** Options of the caller server. */
 export interface CallerServerOptions {
   /** Prefix of the exchange and look-up ids that this server creates. */
   readonly host: string
--- a/src/front-end/eventLoopMonitor.spec.ts
+++ b/src/front-end/eventLoopMonitor.spec.ts
@@ -1,8 +1,8 @@
 import t from 'tap'
 import { EventLoopMonitor } from './eventLoopMonitor.js'
 
-const blockFor = (millis: number): void => {
-  const end = performance.now() + millis
+const blockFor = (durationMs: number): void => {
+  const end = performance.now() + durationMs
   while (performance.now() < end);
 }
 
--- a/src/front-end/linkHub.ts
+++ b/src/front-end/linkHub.ts
@@ -26,7 +26,6 @@
 const helloSchema = z.strictObject({ host: z.string().min(1).max(256), nonce: z.string().length(32), proof: z.string().length(64) })
 const welcomeSchema = z.strictObject({ host: z.string().min(1).max(256), proof: z.string().length(64) })
 
-/** Callbacks of a hub. */
 export interface LinkEvents {
   onMessage (from: HostId, message: LinkMessage): void
   /** Called for each malformed message and each rejected handshake. */
@@ -35,7 +34,6 @@
   onTraffic (direction: 'in' | 'out', bytes: number): void
 }
 
-/** Options of a hub. */
 export interface LinkHubOptions {
   readonly self: HostId
   readonly listen: Address
--- a/src/front-end/operatorServer.ts
+++ b/src/front-end/operatorServer.ts
@@ -28,7 +28,6 @@
   readonly tokenDigest: string
 }
 
-/** Options of the operator server. */
 export interface OperatorServerOptions {
   readonly listen: Address
   /** Returns the users that are allowed at present. */
--- a/src/front-end/processLinks.ts
+++ b/src/front-end/processLinks.ts
@@ -8,7 +8,6 @@
 import type { LinkMessage } from './linkCodec.js'
 import { LinkHub } from './linkHub.js'
 
-/** Options of `createProcessLinks`. */
 export interface ProcessLinksOptions {
   readonly self: HostId
   readonly listen: Address
--- a/src/gossip/gossip.spec.ts
+++ b/src/gossip/gossip.spec.ts
@@ -168,9 +168,9 @@
   frozen.isFrozen = true
   dead.isDown = true
   const seen: Record<string, string[]> = {}
-  for (const moment of [3_000, 12_000, 15_000]) {
-    fleet.fleet.runFor(moment)
-    seen[`after ${moment} ms more`] = [stateOf('m2-1', 'n1-1'), stateOf('m2-2', 'n1-1')]
+  for (const stepMs of [3_000, 12_000, 15_000]) {
+    fleet.fleet.runFor(stepMs)
+    seen[`after ${stepMs} ms more`] = [stateOf('m2-1', 'n1-1'), stateOf('m2-2', 'n1-1')]
   }
   frozen.isFrozen = false
   fleet.fleet.runFor(12_000)
--- a/src/journal/eventRegistry.ts
+++ b/src/journal/eventRegistry.ts
@@ -140,10 +140,8 @@
 
 type Events = typeof eventRegistry
 
-/** Name of an event. */
 export type EventKind = keyof Events
 
-/** The value of a fact. */
 export type Fact = string | number | boolean | null
 
 /** The facts of one kind of event. */
--- a/src/journal/journal.ts
+++ b/src/journal/journal.ts
@@ -17,7 +17,6 @@
   readonly profile: string | null
 }
 
-/** One event. */
 export type JournalRow = { readonly [K in EventKind]: EventRecord<K> }[EventKind]
 
 /** A ring buffer of the latest events. */
@@ -50,5 +49,4 @@
   }
 }
 
-/** Tables with a journal. */
 export interface JournalTables { readonly journal: Journal }
--- a/src/replicated-log/automaticGroup.spec.ts
+++ b/src/replicated-log/automaticGroup.spec.ts
@@ -101,7 +101,7 @@
 })
 
 // Guards against slow elections when hosts start one after another and their connections open late. The start times are those
-// of a recorded run (trouble-1 in the journal).
+// of a recorded run (trouble-1 in the folder `journal`).
 const START_DELAYS_MS = [0, 53, 242, 334, 468, 478]
 const CONNECT_DELAY_MS = 400
 
