--- a/src/stand-ins/bookingLoad.ts
+++ b/src/stand-ins/bookingLoad.ts
@@ -70,10 +70,10 @@
   readonly measuredMs: Millis
   readonly policies?: Partial<EntryPolicies>
   /** Called once with all servers when the measured period starts. */
-  readonly trouble?: (servers: readonly VirtualServer[]) => void
+  readonly injectFaults?: (servers: readonly VirtualServer[]) => void
 }
 
-/** Scores, as fractions 0 to 1 of the highest possible value, and the number of requests by outcome. A late response earns `LATE_VALUE_FACTOR` of its value. */
+/** Scores, as fractions 0 to 1 of the highest possible value, and the number of requests by outcome. A late answer earns `LATE_VALUE_FACTOR` of its value. */
 export interface BookingLoadResult {
   readonly all: number
   readonly worstRegion: number
@@ -101,7 +101,7 @@
   1 + WAVE_AMPLITUDE * Math.sin(2 * Math.PI * (now / WAVE_PERIOD_MS + WAVE_PHASE + REGIONS.indexOf(region) / REGIONS.length))
 
 /** Runs the booking load under a virtual clock with a fixed seed and returns its scores. */
-export const runBookingLoad = ({ load, warmUpMs, measuredMs, policies, trouble }: BookingLoadOptions): BookingLoadResult => {
+export const runBookingLoad = ({ load, warmUpMs, measuredMs, policies, injectFaults }: BookingLoadOptions): BookingLoadResult => {
   const fleet = new VirtualFleet(9)
   fleet.network.delay = delayByRegion(REGION_DELAY_MS)
   const locations = createLocations(REGIONS, 2, 4)
@@ -112,11 +112,11 @@
   const kindOf = new Map<string, RequestKind>()
   const totalPerSecond = REQUEST_KINDS.reduce((sum, kind) => sum + kind.perSecond, 0)
   const { random } = fleet
-  let hasFaults = false
+  let hasInjectedFaults = false
   while (fleet.now < start + warmUpMs + measuredMs) {
-    if (!hasFaults && fleet.now >= start + warmUpMs) {
-      hasFaults = true
-      trouble?.(servers)
+    if (!hasInjectedFaults && fleet.now >= start + warmUpMs) {
+      hasInjectedFaults = true
+      injectFaults?.(servers)
     }
     const { host = '', region = '' } = locations[random.below(locations.length)] ?? {}
     let remaining = random.unit() * totalPerSecond
