--- a/src/admission/fleetAllowance.spec.ts
+++ b/src/admission/fleetAllowance.spec.ts
@@ -12,16 +12,16 @@
 import { maxGrantsOverLimit } from '../invariants/allowanceInvariant.js'
 import { FixedPartPolicy } from './allowancePolicy.js'
 
-const places = createLocations(['n', 'm', 's'], 2, 4)
+const locations = createLocations(['n', 'm', 's'], 2, 4)
 const RATE = 100
 const BURST = 50
 
 const build = (seed: number, policies: () => EntryPolicies, workspaces: readonly string[] = ['w'], rate = RATE): { fleet: VirtualFleet, entry: VirtualEntry } => {
   const fleet = new VirtualFleet(seed)
   fleet.network.delay = delayByRegion(27)
-  const builder = new ConfigurationBuilder().profile(defaultTerms).service('lookup').hosts(places)
+  const builder = new ConfigurationBuilder().profile(defaultTerms).service('lookup').hosts(locations)
   for (const workspace of workspaces) builder.workspace(workspace, rate, rate / 2)
-  const entry = new VirtualEntry(fleet, places, builder.snapshot(), policies)
+  const entry = new VirtualEntry(fleet, locations, builder.snapshot(), policies)
   for (const [number, zone] of ['n1', 'n2', 'm1', 'm2', 's1', 's2'].entries()) {
     for (let copy = 0; copy < 4; copy += 1) entry.addServer('lookup', `server-${number}-${copy}`, zone, 6, 5)
   }
@@ -32,7 +32,7 @@
 const share = (outcomes: readonly VirtualOutcome[], reason: string): number =>
   outcomes.filter(row => row.reason === reason).length / Math.max(1, outcomes.length)
 
-const hostAt = (n: number): string => places[n % places.length]?.host ?? ''
+const hostAt = (n: number): string => locations[n % locations.length]?.host ?? ''
 
 const fixedPart = (): EntryPolicies => ({ ...defaultPolicies(), allowance: new FixedPartPolicy() })
 
@@ -107,24 +107,24 @@
 t.test('never exceeds rate and burst under restarts, partitions, pauses and lost, duplicated or late messages', async t => {
   const property = fc.property(
     fc.nat(1_000_000),
-    fc.array(fc.record({ kind: fc.constantFrom('restart', 'cut', 'heal', 'freeze', 'thaw', 'thaw'), target: fc.nat(places.length - 1), pause: fc.integer({ min: 50, max: 900 }) }), { minLength: 5, maxLength: 20 }),
+    fc.array(fc.record({ kind: fc.constantFrom('restart', 'cut', 'heal', 'freeze', 'thaw', 'thaw'), target: fc.nat(locations.length - 1), pause: fc.integer({ min: 50, max: 900 }) }), { minLength: 5, maxLength: 20 }),
     fc.constantFrom({ loss: 0, doubled: 0, jitter: 0 }, { loss: 0.1, doubled: 0.3, jitter: 300 }),
-    (seed, plan, network) => {
+    (seed, steps, network) => {
       const { fleet, entry } = build(seed, defaultPolicies)
       Object.assign(fleet.network, network)
       const cut = new Set<string>()
       fleet.network.isPartitioned = (from, to) => cut.has(from) !== cut.has(to)
       const start = fleet.now + 10
       entry.sendAtRate('w', 'lookup', RATE * 3, start, start + 8_000, (now, n) => hostAt(Math.floor(now / 700) + n % 3))
-      for (const step of plan) {
-        const place = places[step.target]
-        const node = place === undefined ? undefined : fleet.nodes.get(toId<HostId>(place.host))
-        if (place === undefined || node === undefined) continue
+      for (const step of steps) {
+        const location = locations[step.target]
+        const node = location === undefined ? undefined : fleet.nodes.get(toId<HostId>(location.host))
+        if (location === undefined || node === undefined) continue
         if (step.kind === 'restart') {
           node.isDown = true
-          entry.startHost(place)
-        } else if (step.kind === 'cut') cut.add(place.host)
-        else if (step.kind === 'heal') cut.delete(place.host)
+          entry.startHost(location)
+        } else if (step.kind === 'cut') cut.add(location.host)
+        else if (step.kind === 'heal') cut.delete(location.host)
         else node.isFrozen = step.kind === 'freeze'
         fleet.runFor(step.pause)
       }
--- a/src/admission/lending.spec.ts
+++ b/src/admission/lending.spec.ts
@@ -31,13 +31,13 @@
   refill(before, 10_000)
   const lent = lend(before, 'a', 5, 0, 10_000, lenderLoanExpiry(10_000))
   const restarted = createBucket(10_001)
-  const held: number[] = []
+  const tokensAfterRestart: number[] = []
   for (let now = 10_001; now < lenderLoanExpiry(10_000); now += 10) {
     refill(restarted, now)
-    held.push(restarted.tokens)
+    tokensAfterRestart.push(restarted.tokens)
   }
   t.equal(lent, 5)
-  t.same(new Set(held), new Set([0]), 'lent tokens and held tokens stay within the burst')
+  t.same(new Set(tokensAfterRestart), new Set([0]), 'lent tokens and own tokens stay within the burst')
 })
 
 t.test('tokens that are lent count against the burst until the loan expires or is settled', async t => {
@@ -64,11 +64,11 @@
   t.matchSnapshot({ served, first, second: takePendingSettlements(bucket, lender), third: takePendingSettlements(bucket, lender) })
 })
 
-const places: HostLocation[] = ['n1-1', 'n1-2'].map(host => ({ host, zone: 'n1', region: 'n' }))
+const locations: HostLocation[] = ['n1-1', 'n1-2'].map(host => ({ host, zone: 'n1', region: 'n' }))
 
 t.test('ignores duplicate, late and unsolicited grants', async t => {
   const fleet = new VirtualFleet(1)
-  const entry = new VirtualEntry(fleet, places, new ConfigurationBuilder().profile(defaultTerms).service('s').hosts(places).workspace('w', 20, 10).snapshot())
+  const entry = new VirtualEntry(fleet, locations, new ConfigurationBuilder().profile(defaultTerms).service('s').hosts(locations).workspace('w', 20, 10).snapshot())
   fleet.runFor(6_000)
   const host = toId<HostId>('n1-1')
   const lender = toId<HostId>('n1-2')
--- a/src/admission/plannedAllowance.spec.ts
+++ b/src/admission/plannedAllowance.spec.ts
@@ -17,7 +17,7 @@
 const DURATION_S = 12
 const REGION_DELAY_MS = 35
 
-const places = createLocations(['n', 'm', 's'], 2, 4)
+const locations = createLocations(['n', 'm', 's'], 2, 4)
 const nameOf = (number: number): string => `w${number}`
 
 const plan: Plan = {
@@ -32,7 +32,7 @@
 t.test('does not refuse large and small workspaces at five eighths of their rate', async t => {
   const fleet = new VirtualFleet(5)
   fleet.network.delay = delayByRegion(REGION_DELAY_MS)
-  const entry = new VirtualEntry(fleet, places, new ConfigurationBuilder().run({ kind: 'put-plan', plan }).snapshot(), () => ({ ...defaultPolicies(), allowance: new LendingPolicy(FRUGAL_LENDING) }))
+  const entry = new VirtualEntry(fleet, locations, new ConfigurationBuilder().run({ kind: 'put-plan', plan }).snapshot(), () => ({ ...defaultPolicies(), allowance: new LendingPolicy(FRUGAL_LENDING) }))
   for (const zone of ['n1', 'n2', 'm1', 'm2', 's1', 's2']) entry.addServer('s', `server-${zone}`, zone, 200, 20)
   fleet.runFor(8_000)
   const totalDemand = DEMANDS.reduce((sum, demand) => sum + demand, 0)
@@ -40,7 +40,7 @@
   while (fleet.now < start + DURATION_S * 1_000) {
     let left = fleet.random.unit() * totalDemand
     const number = Math.max(0, DEMANDS.findIndex(demand => { left -= demand; return left < 0 }))
-    entry.send(places[fleet.random.below(places.length)]?.host ?? '', { service: 's', workspace: nameOf(number), authority: 'a.example' })
+    entry.send(locations[fleet.random.below(locations.length)]?.host ?? '', { service: 's', workspace: nameOf(number), authority: 'a.example' })
     fleet.runFor(2_000 * fleet.random.unit() / totalDemand)
   }
   fleet.runFor(3_000)
@@ -54,13 +54,13 @@
 
 t.test('the shares of all hosts add up to the whole limit at any rate', async t => {
   const fleet = new VirtualFleet(6)
-  const entry = new VirtualEntry(fleet, places, new ConfigurationBuilder().run({ kind: 'put-plan', plan }).snapshot())
+  const entry = new VirtualEntry(fleet, locations, new ConfigurationBuilder().run({ kind: 'put-plan', plan }).snapshot())
   fleet.runFor(8_000)
   const tables = entry.tables('n1-1')
   const parts = new AllowanceParts()
   const holders: Record<string, number> = {}
   for (const rate of [1, 40, 100, 1_000]) {
-    const shares = places.map(place => parts.partOf(tables, { workspace: toId(nameOf(0)), rate }, toId(place.host)))
+    const shares = locations.map(location => parts.partOf(tables, { workspace: toId(nameOf(0)), rate }, toId(location.host)))
     t.equal(Math.round(shares.reduce((sum, part) => sum + part, 0) * 1e6), 1e6)
     holders[rate] = shares.filter(part => part > 0).length
   }
--- a/src/affinity/affinity.spec.ts
+++ b/src/affinity/affinity.spec.ts
@@ -28,7 +28,7 @@
 const MEASURED_MS = 10_000
 
 const regions = ['n', 'm', 's']
-const places = createLocations(regions, 2, 2)
+const locations = createLocations(regions, 2, 2)
 const serversOf: Readonly<Record<string, number>> = { n1: 1, n2: 1, m1: 2, m2: 2, s1: 3, s2: 3 }
 
 const plan: Plan = {
@@ -44,7 +44,7 @@
 const runLoad = (choice: () => BackendChoice, perSecond = REQUESTS_PER_SECOND): { readonly all: number, readonly worst: number } => {
   const fleet = new VirtualFleet(9)
   fleet.network.delay = delayByRegion(REGION_MS)
-  const entry = new VirtualEntry(fleet, places, new ConfigurationBuilder().run({ kind: 'put-plan', plan }).snapshot(), () => ({ ...defaultPolicies(), queue: new RankedMaxMinQueue(), retries: new FleetRetryBudget({ ratio: 0.2, slack: 100 }), choice: choice() }))
+  const entry = new VirtualEntry(fleet, locations, new ConfigurationBuilder().run({ kind: 'put-plan', plan }).snapshot(), () => ({ ...defaultPolicies(), queue: new RankedMaxMinQueue(), retries: new FleetRetryBudget({ ratio: 0.2, slack: 100 }), choice: choice() }))
   for (const [zone, count] of Object.entries(serversOf)) {
     for (let number = 1; number <= count; number += 1) {
       const server = entry.addServer('s', `server-${zone}-${number}`, zone, 6, COLD_MS)
@@ -56,8 +56,8 @@
   fleet.runFor(8_000)
   const start = fleet.now
   for (let count = 0; fleet.now < start + WARM_UP_MS + MEASURED_MS; count += 1) {
-    const place = fleet.random.below(places.length)
-    const { host = '', region = '' } = places[place] ?? {}
+    const index = fleet.random.below(locations.length)
+    const { host = '', region = '' } = locations[index] ?? {}
     entry.send(host, { service: 's', workspace: '', authority: 'a.example', affinity: `${region}-${fleet.random.below(OBJECTS_PER_REGION)}` })
     fleet.runFor(2_000 * fleet.random.unit() / perSecond)
   }
@@ -100,12 +100,12 @@
   const before = Array.from({ length: 200 }, (_, object) => firstServerOf(more, object))
   const after = Array.from({ length: 200 }, (_, object) => firstServerOf(more.slice(1), object))
   t.equal(new Set(before).size, 3)
-  t.same(after.filter((home, object) => home !== before[object] && before[object] !== 's/n1-1'), [])
+  t.same(after.filter((key, object) => key !== before[object] && before[object] !== 's/n1-1'), [])
 })
 
 t.test('objects are distributed over healthy servers, and over all servers in service if none is healthy', async t => {
   const fleet = new VirtualFleet(3)
-  const entry = new VirtualEntry(fleet, places, new ConfigurationBuilder().run({ kind: 'put-plan', plan }).snapshot())
+  const entry = new VirtualEntry(fleet, locations, new ConfigurationBuilder().run({ kind: 'put-plan', plan }).snapshot())
   for (const name of ['a', 'b', 'c', 'd']) entry.addServer('s', name, 'n1', 6, COLD_MS)
   fleet.runFor(2_000)
   const tables = entry.tables('n1-1')
--- a/src/announcement/announcement.spec.ts
+++ b/src/announcement/announcement.spec.ts
@@ -5,9 +5,9 @@
 import { VirtualFleet } from '../stand-ins/virtualFleet.js'
 
 t.test('keeps a server that is gone while a request runs there, without a deadline that stays due', async t => {
-  const places = createLocations(['n'], 1, 1)
+  const locations = createLocations(['n'], 1, 1)
   const fleet = new VirtualFleet(1)
-  const entry = new VirtualEntry(fleet, places, new ConfigurationBuilder().profile(defaultTerms).service('upload', 600_000).hosts(places).workspace('w', 100, 50).snapshot())
+  const entry = new VirtualEntry(fleet, locations, new ConfigurationBuilder().profile(defaultTerms).service('upload', 600_000).hosts(locations).workspace('w', 100, 50).snapshot())
   const server = entry.addServer('upload', 'server', 'n1', 4, 300_000)
   fleet.runFor(2_000)
   entry.send('n1-1', { service: 'upload', workspace: 'w', method: 'POST' })
--- a/src/announcement/announcementTopic.spec.ts
+++ b/src/announcement/announcementTopic.spec.ts
@@ -15,15 +15,15 @@
 t.test('transfers an address to the server that started there last, despite later announcements of earlier servers', async t => {
   const tables = createTables()
   const seen: unknown[] = []
-  const take = (announcement: Announcement): void => {
+  const receive = (announcement: Announcement): void => {
     const isNews = mergeAnnouncement(tables, announcement, 0)
     seen.push({ isNews, ...states(tables) })
   }
-  take(announce('old', 'a', { sequence: 5 }))
-  take(announce('new', 'b', { epoch: 2 }))
-  take(announce('old', 'a', { sequence: 6 }))
-  take(announce('old', 'a', { sequence: 7, state: 'draining' }))
-  take(announce('older', 'c', { epoch: 0, sequence: 9 }))
+  receive(announce('old', 'a', { sequence: 5 }))
+  receive(announce('new', 'b', { epoch: 2 }))
+  receive(announce('old', 'a', { sequence: 6 }))
+  receive(announce('old', 'a', { sequence: 7, state: 'draining' }))
+  receive(announce('older', 'c', { epoch: 0, sequence: 9 }))
   t.matchSnapshot(seen)
   t.same(applyReports(tables, [{ service: toId('a'), backend: toId('old'), epoch: 1, sequence: 9 }], 1), [], 'also for a report of another control host')
 })
@@ -32,16 +32,16 @@
   const tables = createTables()
   mergeAnnouncement(tables, announce('one', 'a', { sequence: 3 }), 0)
   mergeAnnouncement(tables, announce('one', 'a', { sequence: 3, state: 'gone' }), 0)
-  const revived = applyReports(tables, [{ service: toId('a'), backend: toId('one'), epoch: 1, sequence: 4 }], 1)
-  t.same(revived.map(row => row.backend), ['one'])
+  const restored = applyReports(tables, [{ service: toId('a'), backend: toId('one'), epoch: 1, sequence: 4 }], 1)
+  t.same(restored.map(row => row.backend), ['one'])
   t.matchSnapshot(states(tables))
 })
 
 t.test('resets the state when a server restarts, and keeps a draining server draining within one epoch', async t => {
   const tables = createTables()
-  const take = (changes: Partial<Announcement>): Record<string, string> => {
+  const receive = (changes: Partial<Announcement>): Record<string, string> => {
     mergeAnnouncement(tables, announce('one', 'a', changes), 0)
     return states(tables)
   }
-  t.matchSnapshot([take({ sequence: 9 }), take({ sequence: 10, state: 'draining' }), take({ sequence: 11 }), take({ epoch: 2, sequence: 1 }), take({ sequence: 12 })])
+  t.matchSnapshot([receive({ sequence: 9 }), receive({ sequence: 10, state: 'draining' }), receive({ sequence: 11 }), receive({ epoch: 2, sequence: 1 }), receive({ sequence: 12 })])
 })
--- a/src/backend-choice/unevenRegions.spec.ts
+++ b/src/backend-choice/unevenRegions.spec.ts
@@ -21,7 +21,7 @@
 const REQUESTS_PER_SECOND_PER_REGION = 90
 const LOAD_SECONDS = 12
 
-const places = createLocations(['n', 'm', 's'], 1, 2)
+const locations = createLocations(['n', 'm', 's'], 1, 2)
 const serversOf: Readonly<Record<string, number>> = { n1: 1, m1: 2, s1: 3 }
 
 const plan: Plan = {
@@ -36,7 +36,7 @@
 const runLoad = (changes: Partial<EntryPolicies>): { entry: VirtualEntry, inTarget: number, sent: number } => {
   const fleet = new VirtualFleet(9)
   fleet.network.delay = delayByRegion(REGION_MS)
-  const entry = new VirtualEntry(fleet, places, new ConfigurationBuilder().run({ kind: 'put-plan', plan }).snapshot(), () => ({ ...defaultPolicies(), queue: new RankedMaxMinQueue(), retries: new FleetRetryBudget({ ratio: 0.2, slack: 100 }), ...changes }))
+  const entry = new VirtualEntry(fleet, locations, new ConfigurationBuilder().run({ kind: 'put-plan', plan }).snapshot(), () => ({ ...defaultPolicies(), queue: new RankedMaxMinQueue(), retries: new FleetRetryBudget({ ratio: 0.2, slack: 100 }), ...changes }))
   for (const [zone, count] of Object.entries(serversOf)) {
     for (let number = 1; number <= count; number += 1) {
       const server = entry.addServer('s', `server-${zone}-${number}`, zone, 6, WORK_MS)
@@ -47,8 +47,8 @@
   fleet.runFor(8_000)
   const intervalMs = 1_000 / (REQUESTS_PER_SECOND_PER_REGION * 3)
   for (let count = 0; count < REQUESTS_PER_SECOND_PER_REGION * 3 * LOAD_SECONDS; count += 1) {
-    const place = places[count % places.length]
-    entry.send(place?.host ?? '', { service: 's', workspace: '', authority: 'a.example', affinity: `object-${count % 60}` })
+    const location = locations[count % locations.length]
+    entry.send(location?.host ?? '', { service: 's', workspace: '', authority: 'a.example', affinity: `object-${count % 60}` })
     fleet.runFor(intervalMs)
   }
   fleet.runFor(4_000)
--- a/src/exchange/overload.spec.ts
+++ b/src/exchange/overload.spec.ts
@@ -8,7 +8,7 @@
 import { MAX_DECISION_LAG_MS, checkRequest } from './requestSystem.js'
 import type { RequestReceived } from './types.js'
 
-const places = createLocations(['n'], 1, 1)
+const locations = createLocations(['n'], 1, 1)
 
 const plan: Plan = {
   version: 1,
@@ -21,7 +21,7 @@
 
 t.test('a host that is short of CPU time refuses new requests at once', async t => {
   const fleet = new VirtualFleet(1)
-  const entry = new VirtualEntry(fleet, places, new ConfigurationBuilder().run({ kind: 'put-plan', plan }).snapshot())
+  const entry = new VirtualEntry(fleet, locations, new ConfigurationBuilder().run({ kind: 'put-plan', plan }).snapshot())
   fleet.runFor(1_000)
   const request = { kind: 'request', exchange: toId('x'), target: { kind: 'route', authority: 'a.example' }, path: '/1', method: 'GET', key: null, affinity: null, timeoutMs: null, fingerprint: '', replayable: true, idempotencyKey: null, ticketAgeMs: null } as unknown as RequestReceived
   const resultAfter = (lagMs: number): string => {
--- a/src/exchange/silence.spec.ts
+++ b/src/exchange/silence.spec.ts
@@ -9,7 +9,7 @@
 import { createLocations } from '../stand-ins/virtualTopology.js'
 import { VirtualFleet } from '../stand-ins/virtualFleet.js'
 
-const places = createLocations(['n'], 1, 1)
+const locations = createLocations(['n'], 1, 1)
 
 const plan: Plan = {
   version: 1,
@@ -26,7 +26,7 @@
 const build = (seed: number): { fleet: VirtualFleet, entry: VirtualEntry } => {
   const fleet = new VirtualFleet(seed)
   const snapshot = new ConfigurationBuilder().run({ kind: 'put-plan', plan }).snapshot()
-  const entry = new VirtualEntry(fleet, places, snapshot, () => ({ ...defaultPolicies(), choice: new ExpectedLatency(), retries: new FleetRetryBudget({ ratio: 0.5, slack: 20 }) }))
+  const entry = new VirtualEntry(fleet, locations, snapshot, () => ({ ...defaultPolicies(), choice: new ExpectedLatency(), retries: new FleetRetryBudget({ ratio: 0.5, slack: 20 }) }))
   for (const name of ['one', 'two']) entry.addServer('s', name, 'n1', 4, 50).reportsLoad = true
   fleet.runFor(6_000)
   return { fleet, entry }
@@ -50,9 +50,9 @@
   }
   fleet.runFor(5_000)
   const after = entry.outcomes.slice(firstOutcome)
-  const reads = after.filter(row => row.kind === 'served' || row.ran === 'not-run').length
+  const servedOrNotRun = after.filter(row => row.kind === 'served' || row.ran === 'not-run').length
   const unknown = after.filter(row => row.ran === 'unknown').length
-  t.ok(reads + unknown >= 70, 'requests are served or refused')
+  t.ok(servedOrNotRun + unknown >= 70, 'requests are served or refused')
   t.ok(after.filter(row => row.kind === 'served').length >= 60, 'most requests are served by the other server')
   t.ok(silent.startedCount <= 40, 'the silent server soon gets no new requests')
 })
--- a/src/idempotency/atMostOnce.spec.ts
+++ b/src/idempotency/atMostOnce.spec.ts
@@ -13,14 +13,14 @@
 import type { RecordPlacement } from './recordPlacement.js'
 import { RECORD_RETENTION_MS } from './recordKeeping.js'
 
-const places = createLocations(['n', 'm', 's'], 2, 4)
+const locations = createLocations(['n', 'm', 's'], 2, 4)
 const ZONES = ['n1', 'n2', 'm1', 'm2', 's1', 's2']
 
 const build = (seed: number, placement: () => RecordPlacement, warmUp = RECORD_RETENTION_MS + 5_000): { fleet: VirtualFleet, entry: VirtualEntry } => {
   const fleet = new VirtualFleet(seed)
   fleet.network.delay = delayByRegion(27)
-  const builder = new ConfigurationBuilder().profile(defaultTerms).service('deposit').hosts(places).workspace('w', 1_000, 500)
-  const entry = new VirtualEntry(fleet, places, builder.snapshot(), () => ({ ...defaultPolicies(), records: placement() }))
+  const builder = new ConfigurationBuilder().profile(defaultTerms).service('deposit').hosts(locations).workspace('w', 1_000, 500)
+  const entry = new VirtualEntry(fleet, locations, builder.snapshot(), () => ({ ...defaultPolicies(), records: placement() }))
   for (const zone of ZONES) entry.addServer('deposit', `server-${zone}`, zone, 6, 10)
   fleet.runFor(warmUp)
   return { fleet, entry }
@@ -88,10 +88,10 @@
   const { fleet, entry } = build(4, () => new RendezvousRecords())
   deposit(entry, 'n1-1', ticket('n1', 1), 'a', 0)
   fleet.runFor(1_000)
-  for (const place of places.filter(row => row.zone === 'n1')) {
-    const node = fleet.nodes.get(toId<HostId>(place.host))
+  for (const location of locations.filter(row => row.zone === 'n1')) {
+    const node = fleet.nodes.get(toId<HostId>(location.host))
     if (node !== undefined) node.isDown = true
-    entry.startHost(place)
+    entry.startHost(location)
   }
   fleet.runFor(6_000)
   deposit(entry, 'm1-1', ticket('n1', 1), 'a', 7_000)
@@ -126,14 +126,14 @@
   }, 'median in virtual milliseconds with 27 ms one way between regions')
 })
 
-const plan = fc.array(fc.record({
+const faultSteps = fc.array(fc.record({
   kind: fc.constantFrom('restart', 'cut', 'heal', 'freeze', 'thaw', 'thaw', 'crash-server', 'lose-answers'),
-  target: fc.nat(places.length - 1),
+  target: fc.nat(locations.length - 1),
   pause: fc.integer({ min: 20, max: 800 })
 }), { minLength: 5, maxLength: 25 })
 
 t.test('never runs a deposit twice under restarts, partitions, pauses and resends through other hosts', async t => {
-  const property = fc.property(fc.nat(1_000_000), plan, fc.constantFrom({ loss: 0, doubled: 0, jitter: 0 }, { loss: 0.1, doubled: 0.2, jitter: 100 }), (seed, steps, network) => {
+  const property = fc.property(fc.nat(1_000_000), faultSteps, fc.constantFrom({ loss: 0, doubled: 0, jitter: 0 }, { loss: 0.1, doubled: 0.2, jitter: 100 }), (seed, steps, network) => {
     const { fleet, entry } = build(seed, () => new RendezvousRecords(), 20_000)
     Object.assign(fleet.network, network)
     const cut = new Set<string>()
@@ -142,23 +142,23 @@
     for (let n = 0; n < 60; n += 1) {
       const key = n % 2 === 0 ? ticket(ZONES[n % 6] ?? 'n1', n) : `plain-${n}`
       for (let copy = 0; copy < 4; copy += 1) {
-        const host = places[(n * 7 + copy * 11) % places.length]?.host ?? ''
+        const host = locations[(n * 7 + copy * 11) % locations.length]?.host ?? ''
         const sentAt = 50 + n * 90
         fleet.schedule(sentAt + copy * 700, () => { deposit(entry, host, key, 'a', n % 2 === 0 ? fleet.now - startedAt - sentAt : undefined) })
       }
     }
     for (const step of steps) {
-      const place = places[step.target]
-      const node = place === undefined ? undefined : fleet.nodes.get(toId<HostId>(place.host))
-      if (place === undefined || node === undefined) continue
+      const location = locations[step.target]
+      const node = location === undefined ? undefined : fleet.nodes.get(toId<HostId>(location.host))
+      if (location === undefined || node === undefined) continue
       if (step.kind === 'restart') {
         node.isDown = true
-        entry.startHost(place)
-      } else if (step.kind === 'cut') cut.add(place.host)
-      else if (step.kind === 'heal') cut.delete(place.host)
+        entry.startHost(location)
+      } else if (step.kind === 'cut') cut.add(location.host)
+      else if (step.kind === 'heal') cut.delete(location.host)
       else if (step.kind === 'freeze' || step.kind === 'thaw') node.isFrozen = step.kind === 'freeze'
       else {
-        const server = entry.servers.get(`server-${place.zone}`)
+        const server = entry.servers.get(`server-${location.zone}`)
         if (server === undefined) continue
         server.scriptAttempt = step.kind === 'crash-server' ? () => ({ afterMs: 5, result: { kind: 'lost', reason: 'ECONNRESET' } }) : null
       }
--- a/src/retry-budget/retryBudget.spec.ts
+++ b/src/retry-budget/retryBudget.spec.ts
@@ -25,8 +25,8 @@
     }
     for (let from = 0; from < firsts.length; from += 7) {
       const sent = (firsts.at(-1) ?? 0) - (firsts[from] ?? 0)
-      const again = (retries.at(-1) ?? 0) - (retries[from] ?? 0)
-      if (again > ratio * sent + slack + 1e-6) return false
+      const retried = (retries.at(-1) ?? 0) - (retries[from] ?? 0)
+      if (retried > ratio * sent + slack + 1e-6) return false
     }
     return true
   }), { seed: 11, numRuns: 200 })
--- a/src/shift/shift.spec.ts
+++ b/src/shift/shift.spec.ts
@@ -8,15 +8,15 @@
 import { CappedShift, UncappedShift } from './shiftPolicy.js'
 import type { ShiftPolicy } from './shiftPolicy.js'
 
-const places = createLocations(['n', 'm', 's'], 2, 4)
+const locations = createLocations(['n', 'm', 's'], 2, 4)
 const WINDOW_MS = 5_000
 const CAP = 0.2
 
 const build = (seed: number, policy: () => ShiftPolicy, warmUpMs = 10_000): { fleet: VirtualFleet, entry: VirtualEntry } => {
   const fleet = new VirtualFleet(seed)
   fleet.network.delay = delayByRegion(27)
-  const builder = new ConfigurationBuilder().profile({ ...defaultTerms, shiftCap: CAP, shiftWindowMs: WINDOW_MS }).service('lookup', 2_000).hosts(places).workspace('w', 10_000, 10_000)
-  const entry = new VirtualEntry(fleet, places, builder.snapshot(), () => ({ ...defaultPolicies(), shift: policy() }))
+  const builder = new ConfigurationBuilder().profile({ ...defaultTerms, shiftCap: CAP, shiftWindowMs: WINDOW_MS }).service('lookup', 2_000).hosts(locations).workspace('w', 10_000, 10_000)
+  const entry = new VirtualEntry(fleet, locations, builder.snapshot(), () => ({ ...defaultPolicies(), shift: policy() }))
   for (const zone of ['n1', 'n2', 'm1', 'm2', 's1', 's2']) {
     for (let copy = 0; copy < 3; copy += 1) entry.addServer('lookup', `server-${zone}-${copy}`, zone, 5, 20)
   }
@@ -55,7 +55,7 @@
   for (const [name, policy] of [['capped', () => new CappedShift()], ['uncapped', () => new UncappedShift()]] as const) {
     const { fleet, entry } = build(1, policy)
     const start = Math.ceil(fleet.now / WINDOW_MS) * WINDOW_MS
-    entry.sendAtRate('w', 'lookup', 240, start, start + 14 * WINDOW_MS, (_now, n) => places[n % places.length]?.host ?? '')
+    entry.sendAtRate('w', 'lookup', 240, start, start + 14 * WINDOW_MS, (_now, n) => locations[n % locations.length]?.host ?? '')
     fleet.runUntil(start + WINDOW_MS)
     setRegionDown(entry, true)
     fleet.runUntil(start + 8 * WINDOW_MS)
@@ -74,7 +74,7 @@
     if (name.startsWith('server-n')) server.workMs = 400
   }
   const start = Math.ceil(fleet.now / WINDOW_MS) * WINDOW_MS
-  entry.sendAtRate('w', 'lookup', 200, start, start + 2 * WINDOW_MS, (_now, n) => places[n % 8]?.host ?? '')
+  entry.sendAtRate('w', 'lookup', 200, start, start + 2 * WINDOW_MS, (_now, n) => locations[n % 8]?.host ?? '')
   fleet.runFor(4 * WINDOW_MS)
   t.ok(entry.placements.some(row => row.isAway), 'some requests spill over')
   t.equal(overCap(entry, start, 'n'), 0)
@@ -84,7 +84,7 @@
   const { fleet, entry } = build(3, () => new CappedShift())
   setRegionDown(entry, true)
   const start = Math.ceil(fleet.now / WINDOW_MS) * WINDOW_MS
-  entry.sendAtRate('w', 'lookup', 900, start, start + 3 * WINDOW_MS, (_now, n) => places[n % places.length]?.host ?? '')
+  entry.sendAtRate('w', 'lookup', 900, start, start + 3 * WINDOW_MS, (_now, n) => locations[n % locations.length]?.host ?? '')
   let worst = 0
   for (let at = start; at < start + 3 * WINDOW_MS; at += 100) {
     fleet.runUntil(at)
--- a/src/suspicion/containment.spec.ts
+++ b/src/suspicion/containment.spec.ts
@@ -8,7 +8,7 @@
 import { NoSuspicion, SharedSuspicion } from './suspicionPolicy.js'
 import type { SuspicionPolicy } from './suspicionPolicy.js'
 
-const places = createLocations(['n', 'm', 's'], 2, 4)
+const locations = createLocations(['n', 'm', 's'], 2, 4)
 
 interface Result { readonly crashes: number, readonly culprit: string[], readonly innocentsRefused: number, readonly innocents: number }
 
@@ -16,21 +16,21 @@
 const run = (seed: number, policy: () => SuspicionPolicy, method: string, resends: number, intervalMs: number): Result => {
   const fleet = new VirtualFleet(seed)
   fleet.network.delay = delayByRegion(27)
-  const builder = new ConfigurationBuilder().profile(defaultTerms).service('lookup').hosts(places).workspace('w', 1_000, 500).workspace('v', 1_000, 500)
-  const entry = new VirtualEntry(fleet, places, builder.snapshot(), () => ({ ...defaultPolicies(), suspicion: policy() }))
+  const builder = new ConfigurationBuilder().profile(defaultTerms).service('lookup').hosts(locations).workspace('w', 1_000, 500).workspace('v', 1_000, 500)
+  const entry = new VirtualEntry(fleet, locations, builder.snapshot(), () => ({ ...defaultPolicies(), suspicion: policy() }))
   for (const zone of ['n1', 'n2', 'm1', 'm2', 's1', 's2']) {
     for (let copy = 0; copy < 2; copy += 1) entry.addServer('lookup', `server-${zone}-${copy}`, zone, 5, 20)
   }
   fleet.runFor(10_000)
   const start = fleet.now + 10
-  let innocent = 0
+  let innocentCount = 0
   for (let at = start; at < start + resends * intervalMs + 3_000; at += 7) {
-    const number = innocent
-    innocent += 1
-    fleet.schedule(at - fleet.now, () => { entry.send(places[number % places.length]?.host ?? '', { service: 'lookup', workspace: 'v', path: `/item/${number}` }) })
+    const number = innocentCount
+    innocentCount += 1
+    fleet.schedule(at - fleet.now, () => { entry.send(locations[number % locations.length]?.host ?? '', { service: 'lookup', workspace: 'v', path: `/item/${number}` }) })
   }
   for (let n = 0; n < resends; n += 1) {
-    fleet.schedule(100 + n * intervalMs, () => { entry.send(places[(seed + n * 5) % places.length]?.host ?? '', { service: 'lookup', workspace: 'w', method, path: CRASHING_PATH }) })
+    fleet.schedule(100 + n * intervalMs, () => { entry.send(locations[(seed + n * 5) % locations.length]?.host ?? '', { service: 'lookup', workspace: 'w', method, path: CRASHING_PATH }) })
   }
   fleet.runFor(resends * intervalMs + 15_000)
   const innocents = entry.outcomes.filter(row => row.workspace === 'v')
--- a/src/warmup/warmupLimit.spec.ts
+++ b/src/warmup/warmupLimit.spec.ts
@@ -14,15 +14,15 @@
 const TOLERANCE = 1.5
 
 t.test('all hosts together keep to the warm-up rate of a cold server without communicating', async t => {
-  const places = createLocations(['n', 's'], 2, 5)
+  const locations = createLocations(['n', 's'], 2, 5)
   const fleet = new VirtualFleet(5)
-  const entry = new VirtualEntry(fleet, places, new ConfigurationBuilder().profile(defaultTerms).service('lookup').hosts(places).workspace('w', 100, 50).snapshot())
+  const entry = new VirtualEntry(fleet, locations, new ConfigurationBuilder().profile(defaultTerms).service('lookup').hosts(locations).workspace('w', 100, 50).snapshot())
   fleet.runFor(6_000)
   const cold: Announcement = { service: toId<ServiceId>('lookup'), backend: toId<BackendId>('fresh'), region: toId('n'), zone: toId<ZoneId>('n1'), target: { address: 'fresh', port: 1 }, slots: 6, epoch: 5, sequence: 1, state: 'up', coldMs: 5_000 }
-  let most = 0
+  let peakPerSecond = 0
   const recent: number[] = []
-  for (const place of places) {
-    const tables = entry.tables(place.host)
+  for (const location of locations) {
+    const tables = entry.tables(location.host)
     const service = tables.configuration.services.get(toId<ServiceId>('lookup'))
     if (service !== undefined) tables.configuration.services.put({ ...service, warmup: { coldMs: 5_000, ratePerS: RATE } })
     mergeAnnouncement(tables, cold, fleet.now)
@@ -30,15 +30,15 @@
   // Every host tries to send a request every 5 ms.
   for (let step = 0; step < 600; step += 1) {
     const now = fleet.now + step * 5
-    for (const place of places) {
-      const tables = entry.tables(place.host)
+    for (const location of locations) {
+      const tables = entry.tables(location.host)
       const [row] = findCandidates(tables, { service: toId<ServiceId>('lookup'), excluded: new Set(), isFirstRank: true, allowedRegions: [] }, now)
       if (row === undefined) continue
       recordColdSend(row, now)
       recent.push(now)
     }
-    most = Math.max(most, recent.filter(at => now - at < 1_000).length)
+    peakPerSecond = Math.max(peakPerSecond, recent.filter(at => now - at < 1_000).length)
   }
-  t.ok(most > 0, 'a cold server is used')
-  t.ok(most <= RATE * TOLERANCE, `${most} in one second`)
+  t.ok(peakPerSecond > 0, 'a cold server is used')
+  t.ok(peakPerSecond <= RATE * TOLERANCE, `${peakPerSecond} in one second`)
 })
--- a/src/warmup/warmupSystem.spec.ts
+++ b/src/warmup/warmupSystem.spec.ts
@@ -24,15 +24,15 @@
 }
 
 t.test('after an evacuation the servers of the zone get no more than the warm-up rate', async t => {
-  const places = createLocations(['n', 'm'], 2, 4)
+  const locations = createLocations(['n', 'm'], 2, 4)
   const fleet = new VirtualFleet(4)
   fleet.network.delay = delayByRegion(30)
-  const entry = new VirtualEntry(fleet, places, new ConfigurationBuilder().run({ kind: 'put-plan', plan }).snapshot(), () => ({ ...defaultPolicies(), choice: new ExpectedLatency() }))
+  const entry = new VirtualEntry(fleet, locations, new ConfigurationBuilder().run({ kind: 'put-plan', plan }).snapshot(), () => ({ ...defaultPolicies(), choice: new ExpectedLatency() }))
   for (const zone of ['n1', 'n2', 'm1', 'm2']) entry.addServer('s', `server-${zone}`, zone, 6, 60).reportsLoad = true
   fleet.runFor(8_000)
   const applyCommand = (command: Command): void => {
-    for (const place of places) {
-      const { configuration } = entry.tables(place.host)
+    for (const location of locations) {
+      const { configuration } = entry.tables(location.host)
       applyChange(configuration, { index: configuration.index + 1, envelope: { requestId: toId('r'), operator: toId('o'), roles: ['assign'], command } })
     }
   }
@@ -41,7 +41,7 @@
   const runLoad = (millis: number): void => {
     for (let at = 0; at < millis; at += 4) {
       const before = server?.startedCount ?? 0
-      entry.send(places[(at / 4) % places.length]?.host ?? '', { service: 's', workspace: '', authority: 'a.example', affinity: `o${at % 40}` })
+      entry.send(locations[(at / 4) % locations.length]?.host ?? '', { service: 's', workspace: '', authority: 'a.example', affinity: `o${at % 40}` })
       fleet.runFor(4)
       for (let count = before; count < (server?.startedCount ?? 0); count += 1) starts.push(fleet.now)
     }
@@ -54,10 +54,10 @@
   applyCommand({ kind: 'end-evacuation', zone })
   const endedAt = fleet.now
   runLoad(2_000)
-  let most = 0
+  let peakPerSecond = 0
   for (const at of starts) {
-    if (at > endedAt) most = Math.max(most, starts.filter(other => other >= at && other < at + 1_000).length)
+    if (at > endedAt) peakPerSecond = Math.max(peakPerSecond, starts.filter(other => other >= at && other < at + 1_000).length)
   }
   t.equal(during, 0, 'no requests during the evacuation')
-  t.ok(most > 0 && most <= MAX_PER_SECOND, `${most} in one second`)
+  t.ok(peakPerSecond > 0 && peakPerSecond <= MAX_PER_SECOND, `${peakPerSecond} in one second`)
 })
