--- a/src/announcement/announcementTopic.ts
+++ b/src/announcement/announcementTopic.ts
@@ -124,5 +124,5 @@
   all: function * (tables) {
     for (const row of tables.backends.rows()) yield { topic: 'announcement', announcement: row.announcement }
   },
-  withAddedAge: ({ announcement }, restedMs) => ({ topic: 'announcement', announcement: { ...announcement, coldMs: Math.max(0, announcement.coldMs - restedMs) } })
+  withAddedAge: ({ announcement }, heldMs) => ({ topic: 'announcement', announcement: { ...announcement, coldMs: Math.max(0, announcement.coldMs - heldMs) } })
 }
--- a/src/exchange/queuePolicy.ts
+++ b/src/exchange/queuePolicy.ts
@@ -52,15 +52,15 @@
 
   next (view: QueueView): ExchangeRow | undefined {
     let best: ExchangeRow | undefined
-    let least = Number.POSITIVE_INFINITY
+    let lowestShare = Number.POSITIVE_INFINITY
     const seen = new Set<string>()
     for (const exchange of view.queued) {
       const key = fairnessKey(exchange)
       if (seen.has(key)) continue
       seen.add(key)
       const share = view.running(key) / view.weight(key)
-      if (share >= least) continue
-      least = share
+      if (share >= lowestShare) continue
+      lowestShare = share
       best = exchange
     }
     return best
@@ -75,11 +75,11 @@
       demand.set(key, (demand.get(key) ?? 0) + 1)
     }
     let worst: ExchangeRow | undefined
-    let most = Number.NEGATIVE_INFINITY
+    let highestShare = Number.NEGATIVE_INFINITY
     for (const [key, exchange] of newest) {
       const share = ((demand.get(key) ?? 0) + view.running(key)) / view.weight(key)
-      if (share <= most) continue
-      most = share
+      if (share <= highestShare) continue
+      highestShare = share
       worst = exchange
     }
     return worst
--- a/src/lookup/lookupSystem.ts
+++ b/src/lookup/lookupSystem.ts
@@ -32,7 +32,7 @@
 
 type LookupInput = LookupReceived | { readonly kind: 'other' }
 
-/** Entry hosts of the client's region in tiers of equal distance, nearest first, and the allowed entry hosts of other regions. */
+/** Entry hosts of the caller's region in tiers of equal distance, nearest first, and the allowed entry hosts of other regions. */
 interface Ranking {
   readonly nearTiers: ReadonlyArray<readonly RankedHost[]>
   readonly farHosts: readonly RankedHost[]
@@ -68,17 +68,17 @@
 
 /** Caches rankings by service and site until the membership or the configuration changes. */
 export class RankingCache {
-  #members = -1
-  #index = -1
+  #membersRevision = -1
+  #configurationIndex = -1
   readonly #byService = new Map<ServiceId, ServiceRankings>()
 
   /** Returns the rankings of a service, or null when the service has no approved terms. */
   service (tables: LookupTables, service: ServiceId): ServiceRankings | null {
     const { members, configuration } = tables
-    if (members.revision !== this.#members || configuration.index !== this.#index) {
+    if (members.revision !== this.#membersRevision || configuration.index !== this.#configurationIndex) {
       this.#byService.clear()
-      this.#members = members.revision
-      this.#index = configuration.index
+      this.#membersRevision = members.revision
+      this.#configurationIndex = configuration.index
     }
     const cached = this.#byService.get(service)
     if (cached !== undefined) return cached
@@ -89,7 +89,7 @@
     return created
   }
 
-  /** Returns the ranking for clients of a site. Uses this host's own site when the client's is unknown. */
+  /** Returns the ranking for callers of a site. Uses this host's own site when the caller's is unknown. */
   ranking (tables: LookupTables, rankings: ServiceRankings, site: SiteId | null): Ranking {
     const originSite = site ?? tables.gossip.self.site
     let ranking = rankings.bySite.get(originSite)
@@ -136,12 +136,12 @@
   if (nearTiers.length === 0 && farHosts.length === 0) return { kind: 'no-entry-host' }
   const account = findShiftAccount(tables, rankings.subject, rankings.terms.shiftWindowMs, now)
   account.total += 1
-  const { isHomeOpen, isAwayOpen } = findAllowedPlacements(account, rankings.terms)
-  if (nearTiers.length > 0 && (isHomeOpen || farHosts.length === 0)) {
+  const { isHomeAllowed, isAwayAllowed } = findAllowedPlacements(account, rankings.terms)
+  if (nearTiers.length > 0 && (isHomeAllowed || farHosts.length === 0)) {
     account.home += 1
     return nearTiers
   }
-  if (!isAwayOpen || farHosts.length === 0) return { kind: 'shift-capped' }
+  if (!isAwayAllowed || farHosts.length === 0) return { kind: 'shift-capped' }
   account.away += 1
   return farTiers
 }
@@ -190,9 +190,9 @@
   const rankings = tables.rankings.service(tables, query.service)
   if (rankings === null) return rejectLookup(tables, query, { kind: 'service-unknown', service: query.service })
   const site = query.client === null ? null : tables.blocks.siteOf(query.client)
-  const placed = selectTiers(tables, rankings, tables.rankings.ranking(tables, rankings, site), now)
-  if ('kind' in placed) return rejectLookup(tables, query, placed)
-  const hosts = chooseHosts(placed, random)
+  const tiers = selectTiers(tables, rankings, tables.rankings.ranking(tables, rankings, site), now)
+  if ('kind' in tiers) return rejectLookup(tables, query, tiers)
+  const hosts = chooseHosts(tiers, random)
   return { kind: 'lookup-answer', lookup: query.lookup, hosts, ttlMs: ANSWER_TTL_MS, ticketZone: hosts[0]?.zone ?? tables.gossip.self.zone, error: null }
 }
 
--- a/src/shift/shiftAccount.ts
+++ b/src/shift/shiftAccount.ts
@@ -51,14 +51,14 @@
   row.home + 1 <= Math.min(1, 1 - row.baseline + terms.shiftCap) * row.total + EPSILON
 
 /** Whether the shift cap allows one more request in the home region and in other regions. */
-export interface AllowedPlacements { readonly isHomeOpen: boolean, readonly isAwayOpen: boolean }
+export interface AllowedPlacements { readonly isHomeAllowed: boolean, readonly isAwayAllowed: boolean }
 
 /** Returns where one more request may run. Because a request cannot be split, small counts may rule out both; the larger fraction of the baseline is then allowed. */
 export const findAllowedPlacements = (row: ShiftRow, terms: Pick<ProfileTerms, 'shiftCap'>): AllowedPlacements => {
-  const isHomeOpen = isHomeUnderCap(row, terms)
-  const isAwayOpen = isAwayUnderCap(row, terms)
-  if (isHomeOpen || isAwayOpen) return { isHomeOpen, isAwayOpen }
-  return row.baseline < 0.5 ? { isHomeOpen: true, isAwayOpen } : { isHomeOpen, isAwayOpen: true }
+  const isHomeAllowed = isHomeUnderCap(row, terms)
+  const isAwayAllowed = isAwayUnderCap(row, terms)
+  if (isHomeAllowed || isAwayAllowed) return { isHomeAllowed, isAwayAllowed }
+  return row.baseline < 0.5 ? { isHomeAllowed: true, isAwayAllowed } : { isHomeAllowed, isAwayAllowed: true }
 }
 
 /** Returns the concurrency limit for a service's requests in another region. */
--- a/src/shift/shiftPolicy.ts
+++ b/src/shift/shiftPolicy.ts
@@ -67,22 +67,22 @@
     const { tables, service, subject, terms, home, candidates, placement, hasLiveHomeServer, hasAnyLiveServer, waitedMs, isRouted, now } = input
     const account = findShiftAccount(tables, subject, terms.shiftWindowMs, now)
     const allowed = findAllowedPlacements(account, terms)
-    const isHomeOpen = allowed.isHomeOpen || placement === 'home'
-    const isAwayOpen = allowed.isAwayOpen || placement === 'away'
+    const isHomeAllowed = allowed.isHomeAllowed || placement === 'home'
+    const isAwayAllowed = allowed.isAwayAllowed || placement === 'away'
     const homeServers = candidates.filter(row => row.announcement.region === home)
-    if (isRouted) return this.#filterByRegion(candidates, home, isHomeOpen, isAwayOpen)
-    if (homeServers.length > 0 && isHomeOpen) return { candidates: homeServers, isCapped: false }
-    const mustLeave = !hasLiveHomeServer || !isHomeOpen
+    if (isRouted) return this.#filterByRegion(candidates, home, isHomeAllowed, isAwayAllowed)
+    if (homeServers.length > 0 && isHomeAllowed) return { candidates: homeServers, isCapped: false }
+    const mustLeave = !hasLiveHomeServer || !isHomeAllowed
     if (!mustLeave && waitedMs < SPILL_OVER_DELAY_MS) return { candidates: [], isCapped: false }
-    if (!isAwayOpen) return { candidates: [], isCapped: mustLeave && hasAnyLiveServer }
+    if (!isAwayAllowed) return { candidates: [], isCapped: mustLeave && hasAnyLiveServer }
     const awayServers = candidates.filter(row => this.#acceptsAwayRequest(tables, service, terms, home, row))
     return { candidates: awayServers, isCapped: false }
   }
 
   // The backend choice weighs waits and distances itself, so only the cap applies here.
-  #filterByRegion (candidates: readonly BackendRow[], home: RegionId, isHomeOpen: boolean, isAwayOpen: boolean): Placement {
-    if (isHomeOpen && isAwayOpen) return { candidates, isCapped: false }
-    const permitted = candidates.filter(row => (row.announcement.region === home) === isHomeOpen)
+  #filterByRegion (candidates: readonly BackendRow[], home: RegionId, isHomeAllowed: boolean, isAwayAllowed: boolean): Placement {
+    if (isHomeAllowed && isAwayAllowed) return { candidates, isCapped: false }
+    const permitted = candidates.filter(row => (row.announcement.region === home) === isHomeAllowed)
     return { candidates: permitted, isCapped: permitted.length === 0 && candidates.length > 0 }
   }
 
--- a/src/stand-ins/backendServer.ts
+++ b/src/stand-ins/backendServer.ts
@@ -30,7 +30,7 @@
   keysSeen: number
   /** Number of runs by Idempotency-Key. */
   readonly runsByKey: Record<string, number>
-  /** Requests whose connection closed before the response was sent. */
+  /** Requests whose connection closed before the answer was sent. */
   cancelled: number
   /** Wall-clock time at which the last request started, in milliseconds. */
   lastStartedAt: number
--- a/src/stand-ins/caller.ts
+++ b/src/stand-ins/caller.ts
@@ -24,9 +24,9 @@
 
 interface CachedLookup { readonly origins: readonly string[], readonly ticket: string, readonly validUntil: number }
 
-const RESPONSE_TIMEOUT_MS = 15_000
+const ANSWER_TIMEOUT_MS = 15_000
 
-/** Sends the requests of one workspace and checks that each response belongs to its request. */
+/** Sends the requests of one workspace and checks that each answer belongs to its request. */
 export class Caller {
   readonly #agent = new Agent({ pipelining: 1, keepAliveTimeout: 4_000 })
   readonly #lookupCache = new Map<string, CachedLookup>()
@@ -54,8 +54,8 @@
         method: request.method,
         headers: { authorization: `Bearer ${this.key}`, ...(idempotencyKey === null ? {} : { 'idempotency-key': idempotencyKey }) },
         body,
-        headersTimeout: RESPONSE_TIMEOUT_MS,
-        bodyTimeout: RESPONSE_TIMEOUT_MS
+        headersTimeout: ANSWER_TIMEOUT_MS,
+        bodyTimeout: ANSWER_TIMEOUT_MS
       })
       const text = await answer.body.text()
       if (answer.statusCode !== 200) return finish('refused', String(answer.headers['rhubarbseam-reason'] ?? answer.statusCode), String(answer.headers['rhubarbseam-ran'] ?? 'unknown'))
--- a/src/stand-ins/fleet.ts
+++ b/src/stand-ins/fleet.ts
@@ -175,8 +175,8 @@
 
   /** Kills all processes of the fleet and removes its folder. */
   async stop (): Promise<void> {
-    const all = [...this.entryHosts, ...this.backendServers, ...this.controlHosts]
-    await Promise.all(all.map(async ({ child }) => {
+    const processes = [...this.entryHosts, ...this.backendServers, ...this.controlHosts]
+    await Promise.all(processes.map(async ({ child }) => {
       if (child.exitCode !== null || child.signalCode !== null) return
       const ended = new Promise<void>(resolve => { child.once('exit', () => { resolve() }) })
       child.kill('SIGKILL')
--- a/src/stand-ins/virtualServer.ts
+++ b/src/stand-ins/virtualServer.ts
@@ -23,7 +23,7 @@
   /** Maximum number of attempts that wait for a slot; 0 if absent. */
   queueCapacity?: number
   readonly queuedAttempts: Array<() => void>
-  /** Whether responses report the server's load. */
+  /** Whether answers report the server's load. */
   reportsLoad?: boolean
   /** Cache of objects that are processed faster; nothing is cached if absent. */
   cache?: ObjectCache
@@ -55,6 +55,6 @@
   return isCached ? workMs * cache.warmFactor : workMs
 }
 
-/** Returns the load that the server reports in a response, or null if it reports none. */
+/** Returns the load that the server reports in an answer, or null if it reports none. */
 export const reportLoad = (server: VirtualServer): ReportedLoad | null =>
   server.reportsLoad === true ? { running: server.runningAttempts.size, waiting: server.queuedAttempts.length, slots: server.announcement.slots } : null
