--- a/src/front-end/lookupServer.ts
+++ b/src/front-end/lookupServer.ts
@@ -11,14 +11,14 @@
 import { listenOn } from '../process/listen.js'
 
 /** A request to this server after parsing. */
-export type DirectoryRequest =
+export type LookupServerRequest =
   | { readonly kind: 'readiness' }
   | { readonly kind: 'lookup', readonly place: Place }
   | { readonly kind: 'unknown' }
 
 /** Adapter between an HTTP protocol of look-ups and the types of the product. */
 export interface LookupProtocol {
-  parseRequest (url: URL): DirectoryRequest
+  parseRequest (url: URL): LookupServerRequest
   /** Returns the body of a response: hosts, best first, valid for `ttlMs`. */
   createBody (hosts: readonly RankedHost[], ttlMs: Millis): unknown
 }
@@ -68,7 +68,7 @@
 
   #route (request: IncomingMessage, response: ServerResponse): void {
     const url = parseUrl(request)
-    const parsed: DirectoryRequest = url === null ? { kind: 'unknown' } : this.context.protocol.parseRequest(url)
+    const parsed: LookupServerRequest = url === null ? { kind: 'unknown' } : this.context.protocol.parseRequest(url)
     if (parsed.kind === 'readiness') this.#answerReadiness(response)
     else if (parsed.kind === 'lookup') this.#handleLookup(parsed.place, response)
     else sendJson(response, 404, { error: 'path-unknown' })
--- a/src/membership/createMember.ts
+++ b/src/membership/createMember.ts
@@ -5,7 +5,7 @@
 import type { HostRole, Member } from './types.js'
 
 /** Identity, location and link address of a process. */
-export interface MemberPlace {
+export interface MemberIdentity {
   readonly host: string
   readonly region: string
   readonly zone: string
@@ -14,7 +14,7 @@
 }
 
 /** Creates the member of a process that starts now; its epoch is the wall-clock time. */
-export const createMember = (role: HostRole, { host, region, zone, site, link }: MemberPlace, callers: Address | null): Member => ({
+export const createMember = (role: HostRole, { host, region, zone, site, link }: MemberIdentity, callers: Address | null): Member => ({
   host: toId(host),
   role,
   region: toId(region),
