Log lines tell which host sent a configuration or its confirmation, and how many entry hosts a control host can send to

Added: `source` on configuration and quorum lines, the vouched index on quorum lines, and the event `entry-hosts` on control hosts. No decision reads any of it.

--- a/src/beliefs/beliefSources.ts
+++ b/src/beliefs/beliefSources.ts
@@ -64,9 +64,9 @@
 
   revision (): null { return null }
 
-  * read ({ configuration }: ConfirmationTables): Iterable<Belief> {
+  * read ({ configuration, gossip }: ConfirmationTables): Iterable<Belief> {
     const evacuated = [...configuration.evacuations.rows()].map(row => row.zone).join(' ')
-    yield { event: 'configuration', subject: 'configuration', state: String(configuration.index), facts: { planVersion: configuration.plan?.version ?? null, evacuated } }
+    yield { event: 'configuration', subject: 'configuration', state: String(configuration.index), facts: { planVersion: configuration.plan?.version ?? null, evacuated, source: gossip.configurationFrom } }
   }
 }
 
@@ -81,7 +81,7 @@
   * read ({ gossip }: ConfirmationTables, now: Millis): Iterable<Belief> {
     const ageMs = gossip.confirmedAt === null ? null : Math.round(now - gossip.confirmedAt)
     const state = ageMs !== null && ageMs < QUORUM_CONTACT_TIMEOUT_MS ? 'in touch' : 'out of touch'
-    yield { event: 'quorum', subject: 'quorum', state, facts: { ageMs } }
+    yield { event: 'quorum', subject: 'quorum', state, facts: { ageMs, source: gossip.vouchedBy, vouchedIndex: gossip.vouch?.index ?? null } }
   }
 }
 
@@ -98,3 +98,23 @@
     yield { event: 'leader', subject: 'leader', state: leader ?? 'none', facts: { role, term, commit, voters: group.voters.length } }
   }
 }
+
+/** Reads how many entry hosts a control host knows, to which it can send changes. */
+export class EntryHostSource implements BeliefSource<MembershipTables> {
+  readonly event = 'entry-hosts'
+
+  get unloggedState (): null { return null }
+
+  revision ({ members }: MembershipTables): number { return members.revision }
+
+  * read ({ members }: MembershipTables): Iterable<Belief> {
+    let reachable = 0
+    let dead = 0
+    for (const { member } of members.rows()) {
+      if (member.role !== 'entry') continue
+      if (member.state === 'dead') dead += 1
+      else reachable += 1
+    }
+    yield { event: 'entry-hosts', subject: 'entry hosts', state: String(reachable), facts: { dead } }
+  }
+}
--- a/src/gossip/gossipReceiveSystem.ts
+++ b/src/gossip/gossipReceiveSystem.ts
@@ -54,9 +54,10 @@
   if (row !== undefined) row.index = Math.max(row.index, index)
 }
 
-const handleSnapshot = (tick: GossipTick, message: Extract<GossipMessage, { kind: 'snapshot' }>): void => {
+const handleSnapshot = (tick: GossipTick, from: HostId, message: Extract<GossipMessage, { kind: 'snapshot' }>): void => {
   const { configuration, recentChanges, withdrawals } = tick.tables
   if (tick.tables.gossip.isAuthority || !installSnapshot(configuration, message.snapshot)) return
+  tick.tables.gossip.configurationFrom = from
   recentChanges.clear()
   for (const key of message.snapshot.keys) {
     if (key.state === 'withdrawn') withdrawals.put({ digest: key.digest })
@@ -101,10 +102,10 @@
       answerFetch(tick, from, message.after)
       return
     case 'changes':
-      for (const change of message.changes) applyNextChange(tick, change)
+      for (const change of message.changes) applyNextChange(tick, change, from)
       return
     case 'snapshot':
-      handleSnapshot(tick, message)
+      handleSnapshot(tick, from, message)
   }
 }
 
--- a/src/journal/eventRegistry.ts
+++ b/src/journal/eventRegistry.ts
@@ -119,14 +119,21 @@
     scope: 'belief',
     meaning: 'another configuration is in force on this host',
     subject: '"configuration"',
-    facts: { ...BELIEF_FACTS, planVersion: 'version of the operators\' plan; null if there is none', evacuated: 'evacuated availability zones, separated by spaces' },
+    facts: { ...BELIEF_FACTS, planVersion: 'version of the operators\' plan; null if there is none', evacuated: 'evacuated availability zones, separated by spaces', source: 'host that sent the newest change or snapshot; null on control hosts' },
     isLogged: true
   },
   quorum: {
     scope: 'belief',
     meaning: 'this host lost or regained contact with the quorum of control hosts',
     subject: '"quorum"',
-    facts: { ...BELIEF_FACTS, ageMs: 'time since a leader last confirmed the configuration of this host, in milliseconds; null if none has since the start' },
+    facts: { ...BELIEF_FACTS, ageMs: 'time since a leader last confirmed the configuration of this host, in milliseconds; null if none has since the start', source: 'host that sent the newest confirmation; null on the leader, and after a fetch', vouchedIndex: 'index that the newest confirmation is about; null if there is none' },
+    isLogged: true
+  },
+  'entry-hosts': {
+    scope: 'belief',
+    meaning: 'the number of entry hosts to which this control host can send changes is another one',
+    subject: '"entry hosts"',
+    facts: { ...BELIEF_FACTS, dead: 'known entry hosts that count as dead' },
     isLogged: true
   },
   leader: {
--- a/src/membership/changeTopic.ts
+++ b/src/membership/changeTopic.ts
@@ -1,5 +1,6 @@
 /** Rumors that carry committed configuration changes, and vouches of the leader for the newest committed index. */
 
+import type { HostId } from '../core/id.js'
 import type { Tick } from '../core/tick.js'
 import type { RumorTables, RumorTopic } from './rumorTopic.js'
 import { applyChange } from '../configuration/applyChange.js'
@@ -13,7 +14,7 @@
 }
 
 /** Applies a committed change if it is the next one and returns true; schedules a fetch if earlier changes are missing. */
-export const applyNextChange = (tick: Tick<RumorTables, unknown, unknown>, change: Change): boolean => {
+export const applyNextChange = (tick: Tick<RumorTables, unknown, unknown>, change: Change, from: HostId | null): boolean => {
   const { configuration, recentChanges, gossip, withdrawals } = tick.tables
   if (gossip.isAuthority || change.index <= configuration.index) return false
   if (change.index > configuration.index + 1) {
@@ -21,6 +22,7 @@
     return false
   }
   applyChange(configuration, change)
+  gossip.configurationFrom = from
   recentChanges.add(change)
   confirmConfiguration(tick.tables)
   if (change.envelope?.command.kind === 'withdraw-key') withdrawals.put({ digest: change.envelope.command.digest })
@@ -32,7 +34,7 @@
   key: rumor => `change/${rumor.change.index}`,
   version: () => '',
   isRetransmitted: true,
-  merge: (tick, rumor) => applyNextChange(tick, rumor.change),
+  merge: (tick, rumor, from) => applyNextChange(tick, rumor.change, from),
   all: () => [],
   withAddedAge: rumor => rumor
 }
--- a/src/membership/membershipTables.ts
+++ b/src/membership/membershipTables.ts
@@ -22,6 +22,7 @@
       vouch: null,
       vouchedAt: now,
       vouchedBy: null,
+      configurationFrom: null,
       confirmedAt: null,
       reportedIndex: 0,
       reportsLeft: 0,
--- a/src/membership/types.ts
+++ b/src/membership/types.ts
@@ -107,6 +107,8 @@
   vouchedAt: Millis
   /** The host that sent the newest vouch, which has the changes up to its index or soon will; null after a failed fetch. */
   vouchedBy: HostId | null
+  /** The host that sent the newest change or snapshot; null on control hosts, which have their own log. */
+  configurationFrom: HostId | null
   /** When the local configuration was last confirmed as the newest; null after a start until the first confirmation. */
   confirmedAt: Millis | null
   /** Index that was last reported to the control hosts, and the repeats that remain, as a report may be lost. */
