--- /dev/null
+++ b/src/stand-ins/changeSeries.ts
@@ -0,0 +1,144 @@
+/** A virtual fleet of control and entry hosts in which operators make one change after another, and how long each takes to be in force. */
+
+import { toId } from '../core/id.js'
+import type { HostId, OperatorId, RequestId, ZoneId } from '../core/id.js'
+import type { Millis } from '../core/tick.js'
+import type { CommandEnvelope, LogIndex } from '../configuration/types.js'
+import { AutomaticAdmission } from '../replicated-log/replicaAdmission.js'
+import type { CallId } from '../replicated-log/types.js'
+import { ConfigurationBuilder, defaultTerms } from './configurationBuilder.js'
+import { VirtualControl } from './virtualControl.js'
+import { VirtualEntry } from './virtualEntry.js'
+import { VirtualFleet } from './virtualFleet.js'
+import { createLocations, delayByRegion } from './virtualTopology.js'
+
+const CONTROL_NAMES = ['n1-c', 'n2-c', 'm1-c', 'm2-c', 's1-c', 's2-c']
+/** Control hosts that found the group and are named to every starting process. */
+const SEED_COUNT = 3
+/** Time in which the fleet forms before the first change. */
+const START_MS: Millis = 15_000
+/** Time after which an operator sends an unanswered change to the next control host. */
+const OPERATOR_TIMEOUT_MS: Millis = 1_000
+const SAMPLE_MS: Millis = 20
+
+/** A change that a control host has acknowledged. */
+interface AcknowledgedChange { readonly index: LogIndex, readonly at: Millis }
+
+/** Bounds of the random stalls of a host that gets too little processor time. */
+export interface Starvation { readonly runMs: Millis, readonly minStallMs: Millis, readonly maxStallMs: Millis }
+
+/** Runs a fleet under a steady series of changes and watches how far each entry host lags behind the acknowledged ones. */
+export class ChangeSeries {
+  readonly fleet: VirtualFleet
+  readonly control: VirtualControl
+  readonly entry: VirtualEntry
+  readonly acknowledged: AcknowledgedChange[] = []
+  /** Longest time for which a running entry host has lacked an acknowledged change, while it was watched. */
+  longestLagMs: Millis = 0
+  /** Host and time of the longest lag. */
+  longestLagOn = ''
+  /** Time from which the lag counts. */
+  watchedFrom: Millis = 0
+  readonly #isStarved = new Set<HostId>()
+  #changeCount = 0
+  #target = 0
+
+  constructor (seed: number, hostsPerZone = 4) {
+    this.fleet = new VirtualFleet(seed)
+    this.fleet.network.delay = delayByRegion(35)
+    this.control = new VirtualControl(this.fleet, CONTROL_NAMES, {
+      founders: SEED_COUNT,
+      admission: () => new AutomaticAdmission(),
+      dissemination: 'tiered',
+      zoneOf: host => host.split('-', 1)[0] ?? ''
+    })
+    const seeds = this.control.hosts.slice(0, SEED_COUNT).map(host => ({ host, link: { address: host, port: 1 } }))
+    const locations = createLocations(['n', 'm', 's'], 2, hostsPerZone)
+    const snapshot = new ConfigurationBuilder().profile(defaultTerms).service('s').workspace('w', 1e6, 1e6).snapshot()
+    this.entry = new VirtualEntry(this.fleet, [], { ...snapshot, index: 0 }, undefined, 'tiered', seeds)
+    for (const location of locations) this.entry.startHost(location, false)
+    this.hosts = locations.map(({ host }) => toId<HostId>(host))
+    this.fleet.runFor(START_MS)
+    this.watchedFrom = this.fleet.now
+  }
+
+  readonly hosts: readonly HostId[]
+
+  /** Lets an entry host run only between random stalls, as under a processor that others use up. */
+  starve (host: HostId, { runMs, minStallMs, maxStallMs }: Starvation): void {
+    this.#isStarved.add(host)
+    const stall = (): void => {
+      const node = this.fleet.nodes.get(host)
+      if (node === undefined || !this.#isStarved.has(host)) return
+      node.isFrozen = true
+      this.fleet.schedule(minStallMs + this.fleet.random.below(maxStallMs - minStallMs), () => {
+        node.isFrozen = false
+        this.fleet.schedule(runMs, stall)
+      })
+    }
+    this.fleet.schedule(this.fleet.random.below(maxStallMs), stall)
+  }
+
+  /** Kills control hosts and starts each again after `downMs` and a random delay of up to `spreadMs`. */
+  restart (hosts: readonly HostId[], downMs: Millis, spreadMs: Millis): void {
+    for (const host of hosts) {
+      this.control.kill(host)
+      this.fleet.schedule(downMs + this.fleet.random.below(spreadMs), () => { this.control.start(host) })
+    }
+  }
+
+  /** Makes a change every `intervalMs` for a time; a change is sent again until a control host acknowledges it. */
+  runFor (durationMs: Millis, intervalMs: Millis): void {
+    const end = this.fleet.now + durationMs
+    let nextChangeAt = this.fleet.now
+    let pending: { readonly envelope: CommandEnvelope, call: CallId, sentAt: Millis } | null = null
+    while (this.fleet.now < end) {
+      if (pending === null && this.fleet.now >= nextChangeAt) {
+        const envelope = this.#nextChange()
+        pending = { envelope, call: this.#send(envelope), sentAt: this.fleet.now }
+        nextChangeAt = this.fleet.now + intervalMs
+      }
+      this.fleet.runFor(SAMPLE_MS)
+      pending = this.#settle(pending)
+      this.#sample()
+    }
+  }
+
+  #nextChange (): CommandEnvelope {
+    this.#changeCount += 1
+    const zone = toId<ZoneId>(`zone-${this.#changeCount}`)
+    return { requestId: toId<RequestId>(`change-${this.#changeCount}`), operator: toId<OperatorId>('ann'), roles: ['assign'], command: { kind: 'start-evacuation', zone } }
+  }
+
+  #send (envelope: CommandEnvelope): CallId {
+    const [leader] = this.control.leaders()
+    const host = leader ?? this.control.hosts[this.#target % this.control.hosts.length]
+    this.#target += 1
+    if (host === undefined) throw new Error('no control host')
+    return this.control.propose(host, envelope)
+  }
+
+  #settle (pending: { readonly envelope: CommandEnvelope, call: CallId, sentAt: Millis } | null): typeof pending {
+    if (pending === null) return null
+    const answer = this.control.proposalAnswers.get(pending.call)
+    if (answer?.receipt !== null && answer?.receipt !== undefined) {
+      this.acknowledged.push({ index: answer.receipt.index, at: this.fleet.now })
+      return null
+    }
+    if (answer === undefined && this.fleet.now - pending.sentAt < OPERATOR_TIMEOUT_MS) return pending
+    return { envelope: pending.envelope, call: this.#send(pending.envelope), sentAt: this.fleet.now }
+  }
+
+  #sample (): void {
+    const { now } = this.fleet
+    if (now < this.watchedFrom) return
+    for (const host of this.hosts) {
+      const { index } = this.entry.tables(host).configuration
+      const missing = this.acknowledged.find(change => change.index > index)
+      const lagMs = missing === undefined ? 0 : now - missing.at
+      if (lagMs <= this.longestLagMs) continue
+      this.longestLagMs = lagMs
+      this.longestLagOn = `${host} at ${now}, index ${index}`
+    }
+  }
+}
--- a/src/stand-ins/virtualEntry.ts
+++ b/src/stand-ins/virtualEntry.ts
@@ -13,7 +13,7 @@
 import type { EntryInput, EntryOutput, EntryTables } from '../entry/types.js'
 import type { AttemptResult, AttemptStarted, RequestRefused, RequestReceived } from '../exchange/types.js'
 import { BlockTable } from '../lookup/blockTable.js'
-import type { Member, Vouch } from '../membership/types.js'
+import type { Member, Seed, Vouch } from '../membership/types.js'
 import type { VirtualFleet, VirtualNode } from './virtualFleet.js'
 import type { HostLocation } from './virtualTopology.js'
 import { reportLoad, processObject } from './virtualServer.js'
@@ -64,7 +64,7 @@
   #requestCount = 0
   #startCount = 0
 
-  constructor (readonly fleet: VirtualFleet, readonly locations: readonly HostLocation[], public snapshot: ConfigurationSnapshot, readonly policies: () => EntryPolicies = defaultPolicies, readonly dissemination?: DisseminationName) {
+  constructor (readonly fleet: VirtualFleet, readonly locations: readonly HostLocation[], public snapshot: ConfigurationSnapshot, readonly policies: () => EntryPolicies = defaultPolicies, readonly dissemination?: DisseminationName, readonly seeds?: readonly Seed[]) {
     for (const location of locations) this.startHost(location)
   }
 
@@ -86,7 +86,7 @@
       incarnation: 0,
       state: 'alive'
     }
-    const seeds = this.locations.filter(other => other.host !== location.host).slice(0, 3).map(other => ({ host: toId<HostId>(other.host), link: { address: other.host, port: 1 } }))
+    const seeds = this.seeds ?? this.locations.filter(other => other.host !== location.host).slice(0, 3).map(other => ({ host: toId<HostId>(other.host), link: { address: other.host, port: 1 } }))
     const world = createEntryWorld({ self, seeds, blocks: new BlockTable([]), randomSeed: this.fleet.random.below(1 << 30), policies: this.policies(), now: this.fleet.now, ...this.dissemination === undefined ? {} : { dissemination: this.dissemination } })
     if (hasConfiguration) this.loadConfiguration(world.tables)
     this.fleet.add(self.host, world, (node, row: EntryOutput) => { this.#deliver(node, row) })
