A host whose confirmation is overdue asks control hosts in turn, and the leader vouches to each replica directly

Callers saw a route that a newer version had added refused with 404, or requests run as only an older version allows, up to 5 s after the change had been acknowledged, after all control hosts had restarted. Cause: members are held in memory only. The leader's vouches reached other control hosts only as far as it knew them as members. A probe from an unknown host was not answered, so entry hosts suspected living control hosts. Class: delivery that depends on what the sender remembers, with a receiver that waits. Change: the receiver is responsible. A host that has had no vouch for 1.3 s introduces itself to the known control hosts in turn, the nearest first, those that count as dead and the seeds last; the answer has the newest vouch and the records of both. The missing changes are then fetched as before. The leader sends each vouch to every replica of the log itself, every second instead of every two. A host that isn't known gets answers over the link that it has opened.

--- a/src/control/controlWorld.ts
+++ b/src/control/controlWorld.ts
@@ -14,6 +14,7 @@
 import { LookupSystem, RankingCache } from '../lookup/lookupSystem.js'
 import { createShiftTables } from '../shift/shiftTables.js'
 import type { Withdrawal } from '../key-check/types.js'
+import { ConfirmationSystem } from '../gossip/confirmationSystem.js'
 import { GossipReceiveSystem } from '../gossip/gossipReceiveSystem.js'
 import { ProbeSystem } from '../gossip/probeSystem.js'
 import { createDissemination } from '../gossip/disseminationRegistry.js'
@@ -92,6 +93,7 @@
     new ReadSystem(),
     new ReplicationSendSystem(),
     new BeliefSystem<ControlTables>([new PeerSource(), new BackendSource(), new ConfigurationSource(), new QuorumSource(), new LeaderSource(), new EntryHostSource()]),
+    new ConfirmationSystem(dissemination),
     new ProbeSystem(dissemination),
     new SpreadSystem(dissemination)
   ] as Array<System<ControlTables, ControlInput, ControlOutput>>
--- a/src/entry/entryWorld.ts
+++ b/src/entry/entryWorld.ts
@@ -40,6 +40,7 @@
 import type { BlockTable } from '../lookup/blockTable.js'
 import { LookupSystem, RankingCache } from '../lookup/lookupSystem.js'
 import { createMembership } from '../membership/membershipTables.js'
+import { ConfirmationSystem } from '../gossip/confirmationSystem.js'
 import { GossipReceiveSystem } from '../gossip/gossipReceiveSystem.js'
 import { ProbeSystem } from '../gossip/probeSystem.js'
 import { createDissemination } from '../gossip/disseminationRegistry.js'
@@ -154,6 +155,7 @@
     new DispatchSystem(options.policies),
     new StopSystem(),
     new BeliefSystem<EntryTables>([new PeerSource(), new BackendSource(), new ConfigurationSource(), new QuorumSource()]),
+    new ConfirmationSystem(dissemination),
     new ProbeSystem(dissemination),
     new SpreadSystem(dissemination)
   ] as Array<System<EntryTables, EntryInput, EntryOutput>>
--- a/src/gossip/dissemination.ts
+++ b/src/gossip/dissemination.ts
@@ -21,6 +21,8 @@
   joinTargets (tables: RumorTables): readonly Seed[]
   /** Members of which one is asked for missing configuration changes. */
   fetchTargets (tables: RumorTables): readonly Member[]
+  /** Control hosts, or hosts that may know some, that are asked in turn for a vouch. */
+  confirmationTargets (tables: RumorTables): readonly Seed[]
   /** Returns the function that gives the members to which each of the new rumors is sent. */
   router (tick: GossipTick): (row: RumorRow) => readonly Member[]
   /** Whether a rumor must not wait for others. */
@@ -42,7 +44,7 @@
 }
 
 /** Seeds that are not members yet. */
-export const unknownSeeds = ({ gossip, members }: RumorTables): Seed[] => gossip.seeds.filter(seed => !members.has(seed.host))
+export const unknownSeeds = ({ gossip, members }: Pick<RumorTables, 'gossip' | 'members'>): Seed[] => gossip.seeds.filter(seed => !members.has(seed.host))
 
 /** Dead members, as hosts to contact. */
 export const deadMembers = ({ members }: RumorTables): Member[] => members.group('dead').map(row => row.member)
@@ -56,6 +58,19 @@
   return controls
 }
 
+/** All known control hosts, then those that count as dead, as they may have started again, and seeds that are not members yet. */
+export const knownControls = ({ members, gossip }: Pick<RumorTables, 'gossip' | 'members'>): readonly Seed[] => {
+  const living: Member[] = []
+  const dead: Member[] = []
+  for (const { member } of members.rows()) {
+    if (member.role !== 'control' || member.host === gossip.self.host) continue
+    const list = member.state === 'dead' ? dead : living
+    list.push(member)
+  }
+  const unknown = unknownSeeds({ members, gossip })
+  return [...living, ...dead, ...unknown]
+}
+
 /** Removes a host from a list of members. */
 export const without = (members: readonly Member[], host: HostId | null): readonly Member[] =>
   host === null ? members : members.filter(member => member.host !== host)
--- a/src/gossip/epidemicDissemination.ts
+++ b/src/gossip/epidemicDissemination.ts
@@ -3,7 +3,7 @@
 import type { Member, Seed } from '../membership/types.js'
 import type { RumorTables } from '../membership/rumorTopic.js'
 import type { PeerSelector } from '../membership/peerSelector.js'
-import { deadMembers, liveControls, sample, unknownSeeds } from './dissemination.js'
+import { deadMembers, knownControls, liveControls, sample, unknownSeeds } from './dissemination.js'
 import type { Dissemination } from './dissemination.js'
 import type { GossipTick } from './gossipSteps.js'
 
@@ -35,6 +35,8 @@
 
   fetchTargets (tables: RumorTables): readonly Member[] { return this.#peers(tables) }
 
+  confirmationTargets (tables: RumorTables): readonly Seed[] { return knownControls(tables) }
+
   router (tick: GossipTick): () => readonly Member[] {
     const { sameZone, otherZones } = this.peerSelector.select(tick.tables)
     const targets = [...sample(tick, sameZone, SAME_ZONE_FANOUT), ...sample(tick, otherZones, OTHER_ZONES_FANOUT)]
--- a/src/gossip/gossipReceiveSystem.ts
+++ b/src/gossip/gossipReceiveSystem.ts
@@ -6,7 +6,7 @@
 import { confirmConfiguration, applyNextChange } from '../membership/changeTopic.js'
 import { snapshotWithoutDocument } from '../plan/planDocument.js'
 import { installSnapshot, takeSnapshot } from '../configuration/configurationTables.js'
-import { MAX_RUMORS_PER_MESSAGE, mergeRumors, sendToMember, sendSync, takePendingRumors } from './gossipSteps.js'
+import { MAX_RUMORS_PER_MESSAGE, currentVouch, mergeRumors, sendReply, sendToMember, sendSync, takePendingRumors } from './gossipSteps.js'
 import type { GossipInput, GossipOutput, GossipTick } from './gossipSteps.js'
 import type { RumorTables } from '../membership/rumorTopic.js'
 import { spreadRumor } from '../membership/spreadRumor.js'
@@ -46,7 +46,7 @@
   const message: GossipMessage = changes === null
     ? { kind: 'snapshot', snapshot: snapshotWithoutDocument(takeSnapshot(configuration)) }
     : { kind: 'changes', changes }
-  sendToMember(tick, to, message)
+  sendReply(tick, to, message)
 }
 
 const recordReportedIndex = (tick: GossipTick, from: HostId, index: number): void => {
@@ -65,6 +65,23 @@
   confirmConfiguration(tick.tables)
 }
 
+const introduces = (rumors: readonly Rumor[], host: HostId): boolean => rumors.some(rumor => rumor.topic === 'member' && rumor.member.host === host)
+
+// A host that introduces itself asks for a vouch. It also learns which process runs here, and what this host believes of it.
+const rumorsForReply = (tick: GossipTick, to: HostId, received: readonly Rumor[]): Rumor[] => {
+  const { members, gossip } = tick.tables
+  const pending = takePendingRumors(tick)
+  if (!introduces(received, to)) return pending
+  const known = members.get(to)?.member
+  const vouch = currentVouch(tick)
+  return [
+    { topic: 'member', member: gossip.self },
+    ...known === undefined || known.state === 'alive' ? [] : [{ topic: 'member' as const, member: known }],
+    ...vouch === null ? [] : [{ topic: 'vouch' as const, vouch }],
+    ...pending
+  ]
+}
+
 const handleProbeReply = (tick: GossipTick, from: HostId, sequence: number): void => {
   const { probes, members, gossip } = tick.tables
   const probe = probes.get(from)
@@ -79,7 +96,7 @@
     case 'probe':
       mergeRumors(tick, message.rumors, from)
       recordPeerIndex(tick, from, message.index)
-      sendToMember(tick, from, { kind: 'probe-reply', sequence: message.sequence, index: tick.tables.configuration.index, rumors: takePendingRumors(tick) })
+      sendReply(tick, from, { kind: 'probe-reply', sequence: message.sequence, index: tick.tables.configuration.index, rumors: rumorsForReply(tick, from, message.rumors) })
       return
     case 'probe-reply':
       handleProbeReply(tick, from, message.sequence)
--- a/src/gossip/gossipSteps.ts
+++ b/src/gossip/gossipSteps.ts
@@ -51,7 +51,15 @@
   if (member !== undefined) sendTo(tick, to, member.link, message)
 }
 
-const currentVouch = (tick: GossipTick): Vouch | null => {
+const UNKNOWN_ADDRESS: Address = { address: '', port: 0 }
+
+/** Answers a message; a host that is not a known member gets the answer only over the link that it has opened. */
+export const sendReply = (tick: GossipTick, to: HostId, message: GossipMessage): void => {
+  sendTo(tick, to, tick.tables.members.get(to)?.member.link ?? UNKNOWN_ADDRESS, message)
+}
+
+/** The newest vouch with its present age; null before the first one. */
+export const currentVouch = (tick: GossipTick): Vouch | null => {
   const { vouch, vouchedAt } = tick.tables.gossip
   return vouch === null ? null : { ...vouch, ageMs: tick.now - vouchedAt }
 }
--- a/src/gossip/tieredDissemination.ts
+++ b/src/gossip/tieredDissemination.ts
@@ -3,13 +3,14 @@
  * other region, to those of their own region, and to the entry hosts that are assigned to them. Entry hosts stay in their zone.
  */
 
+import { rendezvousWeight } from '../core/rendezvous.js'
 import type { Millis } from '../core/tick.js'
 import { LocalityCache, isDependable, topRanked } from '../membership/locality.js'
 import type { Locality } from '../membership/locality.js'
 import type { PeerSelector } from '../membership/peerSelector.js'
 import type { RumorTables } from '../membership/rumorTopic.js'
 import type { Member, Rumor, RumorRow, Seed } from '../membership/types.js'
-import { deadMembers, sample, unknownSeeds, without } from './dissemination.js'
+import { deadMembers, knownControls, sample, unknownSeeds, without } from './dissemination.js'
 import type { Dissemination } from './dissemination.js'
 import type { GossipTick } from './gossipSteps.js'
 
@@ -93,6 +94,18 @@
     return firstNonEmpty([...zoneControls, ...zoneEntries], [...regionControls, ...regionEntries], controls, this.#anyPeers(tables))
   }
 
+  // The nearest first. Each host starts at another one of those that are equally near.
+  confirmationTargets (tables: RumorTables): readonly Seed[] {
+    const { zone, region, host } = tables.gossip.self
+    const distance = (target: Seed): number => {
+      const member = tables.members.get(target.host)?.member
+      if (member === undefined) return 3
+      return member.zone === zone ? 0 : member.region === region ? 1 : 2
+    }
+    const rank = (target: Seed): number => rendezvousWeight(host, target.host)
+    return [...knownControls(tables)].sort((a, b) => distance(a) - distance(b) || rank(b) - rank(a))
+  }
+
   router (tick: GossipTick): (row: RumorRow) => readonly Member[] {
     const locality = this.#localities.read(tick.tables)
     const isControl = tick.tables.gossip.self.role === 'control'
@@ -140,6 +153,8 @@
     if (row.rumor.topic === 'change') return direct
     const mustArrive = !isBulk(row.rumor)
     const entries = mustArrive ? [...direct, ...backupEntries] : direct
+    // The leader sends vouches to each replica of the log itself.
+    if (row.rumor.topic === 'vouch') return entries
     const { self } = tick.tables.gossip
     const source = row.from === null ? self : tick.tables.members.get(row.from)?.member ?? self
     if (source.role === 'control' && source.region !== self.region) return [...entries, ...regionControls]
--- a/src/membership/membershipTables.ts
+++ b/src/membership/membershipTables.ts
@@ -27,6 +27,8 @@
       reportedIndex: 0,
       reportsLeft: 0,
       isAuthority: self.role === 'control',
+      nextAskAt: now,
+      askCount: 0,
       fetchAt: NEVER,
       seeds,
       roundTrips: new Map()
--- a/src/membership/types.ts
+++ b/src/membership/types.ts
@@ -116,6 +116,9 @@
   reportsLeft: number
   /** True on control hosts, which apply changes only from their own log. */
   readonly isAuthority: boolean
+  /** Time before which no control host is asked for a vouch again, and the number of questions since the last one arrived. */
+  nextAskAt: Millis
+  askCount: number
   /** Due time of the next fetch of missing configuration changes. */
   fetchAt: Millis
   /** Hosts to contact while they are not in the member table. */
--- a/src/replicated-log/commitSystem.ts
+++ b/src/replicated-log/commitSystem.ts
@@ -11,9 +11,10 @@
 import { changeWithoutDocument } from '../plan/planDocument.js'
 import { withdrawalTopic } from '../key-check/withdrawalTopic.js'
 import { changeTopic, vouchTopic } from '../membership/changeTopic.js'
+import type { GossipMessage, MessageSent } from '../membership/types.js'
 import { spreadRumor } from '../membership/spreadRumor.js'
 import type { RumorTables } from '../membership/rumorTopic.js'
-import { appendAsLeader, isVoter, persist, quorumSize } from './replicaSteps.js'
+import { appendAsLeader, isVoter, otherReplicas, persist, quorumSize } from './replicaSteps.js'
 import type { LogInput, LogOutput, LogTick } from './replicaSteps.js'
 import { latestGroup } from './replicaTables.js'
 import type { CommandProposed, Entry, Group, LogTables } from './types.js'
@@ -22,12 +23,12 @@
 export const SNAPSHOT_INTERVAL_ENTRIES = 1_000
 /** Entries retained before a snapshot, so that replicas that lag slightly need no snapshot. */
 const RETAINED_ENTRIES = 256
-export const VOUCH_INTERVAL_MS: Millis = 2_000
+export const VOUCH_INTERVAL_MS: Millis = 1_000
 const VOUCH_RETRY_INTERVAL_MS: Millis = 100
 
 /** Tables that the commit system uses. */
 export type CommitTables = LogTables & RumorTables
-export type CommitTick = Tick<CommitTables, LogInput, LogOutput>
+export type CommitTick = Tick<CommitTables, LogInput, LogOutput | MessageSent<GossipMessage>>
 
 const toLogTick = (tick: CommitTick): LogTick => tick
 
@@ -46,7 +47,7 @@
 }
 
 /** Proposes, commits and applies entries, confirms the commit index to the fleet and compacts the log. */
-export class CommitSystem implements System<CommitTables, LogInput, LogOutput> {
+export class CommitSystem implements System<CommitTables, LogInput, LogOutput | MessageSent<GossipMessage>> {
   readonly name = 'commit'
   #seenWithdrawalRevision = -1
   #proposedWithdrawals = new Set<string>()
@@ -172,6 +173,10 @@
     gossip.vouchedAt = confirmedAt
     if (configuration.index >= vouch.index) gossip.confirmedAt = confirmedAt
     spreadRumor(tick, vouchTopic, { topic: 'vouch', vouch })
+    // Straight to each replica: the leader may have started a moment ago and not know them as members yet.
+    for (const { host, link } of otherReplicas(tick.tables)) {
+      tick.emit({ kind: 'send', to: host, address: link, message: { kind: 'rumors', rumors: [{ topic: 'vouch', vouch }] } })
+    }
   }
 
   #compact (tick: CommitTick): void {
--- a/tap-snapshots/src/beliefs/beliefSystem.spec.ts.test.cjs
+++ b/tap-snapshots/src/beliefs/beliefSystem.spec.ts.test.cjs
@@ -8,19 +8,19 @@
 exports[`src/beliefs/beliefSystem.spec.ts > TAP > a control host records the loss and return of its leader and of the quorum > must match snapshot 1`] = `
 Object {
   "cut": Array [
-    "peer c: alive -> suspect",
-    "quorum quorum: in touch -> out of touch",
     "leader leader: b -> none",
+    "peer c: alive -> suspect",
     "peer b: alive -> suspect",
+    "quorum quorum: in touch -> out of touch",
     "peer c: suspect -> dead",
     "peer b: suspect -> dead",
   ],
   "follower": "a",
   "joined": Array [
     "leader leader: none -> b",
+    "quorum quorum: out of touch -> in touch",
     "peer b: dead -> alive",
     "peer c: dead -> alive",
-    "quorum quorum: out of touch -> in touch",
   ],
   "leader": "b",
 }
