Control hosts that have started introduce themselves to the replicas of their group, and are told the reports that they missed

Reports of servers go to the control hosts that the sender knows as members; after a restart of all of them these are few, and the next repetition comes after 10 s. Change: a control host introduces itself every 0.4 s to each replica of the log that it doesn't know as a member; the answer has the other's record. A control host that sees another one start repeats its servers' reports.

--- a/src/announcement/reportSystem.ts
+++ b/src/announcement/reportSystem.ts
@@ -29,6 +29,10 @@
   #moved = new Set<string>()
   #nextSendAt: Millis = NEVER
   #nextRefreshAt: Millis = NEVER
+  /** Epoch of each control host that has been told about the servers that report here. */
+  readonly #informed = new Map<HostId, number>()
+  /** Revision of the member table that was looked through for control hosts that have started. */
+  #membersRevision = -1
 
   run (tick: ReportTick): void {
     const { host } = tick.tables.gossip.self
@@ -40,12 +44,24 @@
       this.#moved.add(key)
       this.#nextSendAt = Math.min(this.#nextSendAt, tick.now + REPORT_INTERVAL_MS)
     }
+    if (tick.tables.members.revision !== this.#membersRevision) this.#findStarted(tick)
     if (tick.now >= this.#nextRefreshAt) this.#refresh(tick)
     else if (tick.now >= this.#nextSendAt) this.#sendMoved(tick)
   }
 
   deadline (): Millis { return Math.min(this.#nextSendAt, this.#nextRefreshAt) }
 
+  // A control host that has started has none of the earlier reports.
+  #findStarted (tick: ReportTick): void {
+    const { members, gossip } = tick.tables
+    this.#membersRevision = members.revision
+    for (const { member } of members.rows()) {
+      if (member.role !== 'control' || member.host === gossip.self.host || this.#informed.get(member.host) === member.epoch) continue
+      this.#informed.set(member.host, member.epoch)
+      this.#nextRefreshAt = Math.min(this.#nextRefreshAt, tick.now + REPORT_INTERVAL_MS)
+    }
+  }
+
   #sendMoved (tick: ReportTick): void {
     const rows: BackendRow[] = []
     for (const key of this.#moved) {
--- a/src/control/controlWorld.ts
+++ b/src/control/controlWorld.ts
@@ -32,6 +32,7 @@
 import { GroupSystem } from '../replicated-log/groupSystem.js'
 import { createLogTables } from '../replicated-log/replicaTables.js'
 import { STARTUP_GRACE_MS } from '../replicated-log/timing.js'
+import { IntroductionSystem } from '../replicated-log/introductionSystem.js'
 import { ReplicationReceiveSystem, ReplicationSendSystem } from '../replicated-log/replicationSystem.js'
 import type { DiskImage } from '../replicated-log/types.js'
 import type { SuspectId, SuspicionRow } from '../suspicion/types.js'
@@ -92,6 +93,7 @@
     new GroupSystem(options.admission ?? new OperatorAdmission()),
     new ReadSystem(),
     new ReplicationSendSystem(),
+    new IntroductionSystem(),
     new BeliefSystem<ControlTables>([new PeerSource(), new BackendSource(), new ConfigurationSource(), new QuorumSource(), new LeaderSource(), new EntryHostSource()]),
     new ConfirmationSystem(dissemination),
     new ProbeSystem(dissemination),
--- a/src/gossip/confirmationSystem.ts
+++ b/src/gossip/confirmationSystem.ts
@@ -3,7 +3,7 @@
 import type { Millis, System } from '../core/tick.js'
 import type { RumorTables } from '../membership/rumorTopic.js'
 import type { Dissemination } from './dissemination.js'
-import { sendTo } from './gossipSteps.js'
+import { introduce } from './gossipSteps.js'
 import type { GossipInput, GossipOutput, GossipTick } from './gossipSteps.js'
 
 /** Age of the newest vouch from which a host asks for another one; the leader issues one every second. */
@@ -32,13 +32,12 @@
   deadline ({ gossip }: RumorTables): Millis { return Math.max(gossip.vouchedAt + CONFIRMATION_OVERDUE_MS, gossip.nextAskAt) }
 
   #ask (tick: GossipTick, ageMs: Millis): void {
-    const { gossip, configuration, members } = tick.tables
+    const { gossip, members } = tick.tables
     const targets = this.dissemination.confirmationTargets(tick.tables)
     const target = targets[gossip.askCount % Math.max(1, targets.length)]
     const isPartitioned = target === undefined || ageMs > PARTITIONED_AFTER_MS
     gossip.nextAskAt = tick.now + (isPartitioned ? PARTITIONED_ASK_INTERVAL_MS : Math.max(ASK_INTERVAL_MS, members.size * ASK_INTERVAL_PER_MEMBER_MS))
     gossip.askCount += 1
-    if (target === undefined) return
-    sendTo(tick, target.host, target.link, { kind: 'probe', sequence: 0, index: configuration.index, rumors: [{ topic: 'member', member: gossip.self }] })
+    if (target !== undefined) introduce(tick, target)
   }
 }
--- a/src/gossip/gossipSteps.ts
+++ b/src/gossip/gossipSteps.ts
@@ -7,7 +7,7 @@
 import { spreadRumor } from '../membership/spreadRumor.js'
 import { readSyncState } from './syncDigest.js'
 import type { Address } from '../core/address.js'
-import type { GossipMessage, LinkDropped, MessageReceived, MessageSent, Rumor, RumorRow, Vouch } from '../membership/types.js'
+import type { GossipMessage, LinkDropped, MembershipTables, MessageReceived, MessageSent, Rumor, RumorRow, Seed, Vouch } from '../membership/types.js'
 
 export const MAX_RUMORS_PER_MESSAGE = 64
 
@@ -69,3 +69,9 @@
   const { digests } = readSyncState(tick.tables, tick.now)
   sendTo(tick, to, address, { kind: 'sync', reply, digests, vouch: currentVouch(tick) })
 }
+
+/** Tells a host which process runs here and asks for its record and its newest vouch. */
+export const introduce = (tick: Tick<MembershipTables & { readonly configuration: { readonly index: number } }, unknown, MessageSent<GossipMessage>>, { host, link }: Seed): void => {
+  const { gossip, configuration } = tick.tables
+  tick.emit({ kind: 'send', to: host, address: link, message: { kind: 'probe', sequence: 0, index: configuration.index, rumors: [{ topic: 'member', member: gossip.self }] } })
+}
--- a/src/stand-ins/virtualControl.ts
+++ b/src/stand-ins/virtualControl.ts
@@ -2,7 +2,7 @@
 
 import { toId } from '../core/id.js'
 import type { HostId } from '../core/id.js'
-import type { World } from '../core/tick.js'
+import type { Millis, World } from '../core/tick.js'
 import { createControlWorld } from '../control/controlWorld.js'
 import type { ControlInput, ControlOutput, ControlTables } from '../control/types.js'
 import type { CommandEnvelope } from '../configuration/types.js'
@@ -33,6 +33,8 @@
   /** Availability zone of each host; by default each host has one of its own. */
   readonly zoneOf?: (host: HostId) => string
   readonly dissemination?: DisseminationName
+  /** Time without a report after which a backend server is considered gone. */
+  readonly reportExpiryMs?: Millis
 }
 
 const createMember = (host: HostId, zone: string, epoch: number): Member => ({
@@ -93,6 +95,7 @@
       image: buildImage(disk.replica, disk.records),
       admission: this.options.admission?.(),
       dissemination: this.options.dissemination,
+      reportExpiryMs: this.options.reportExpiryMs,
       randomSeed: this.fleet.random.below(1 << 30),
       now: this.fleet.now
     })
