--- a/src/front-end/messageSchema.ts
+++ b/src/front-end/messageSchema.ts
@@ -22,7 +22,8 @@
   state: z.enum(['alive', 'leaving', 'suspect', 'dead'])
 })
 
-const announcement = z.object({
+/** Schema of an announcement on a link. */
+export const announcementSchema = z.object({
   service: id,
   backend: id,
   region: id,
@@ -47,7 +48,8 @@
 const warmup = z.object({ coldMs: z.number().nonnegative(), ratePerS: z.number().nonnegative() })
 const retirement = z.object({ service: id, backend: id, epoch: z.number() })
 const regions = z.array(id).max(256)
-const plan = z.object({
+/** Schema of a plan on a link and in the log. */
+export const planSchema = z.object({
   version: z.number().int().positive(),
   terms,
   routes: z.array(z.object({
@@ -83,7 +85,7 @@
   z.strictObject({ kind: z.literal('end-drain'), service: id, backend: id }),
   z.strictObject({ kind: z.literal('register-host'), entryHost }),
   z.strictObject({ kind: z.literal('remove-host'), host: id }),
-  z.strictObject({ kind: z.literal('put-plan'), plan }),
+  z.strictObject({ kind: z.literal('put-plan'), plan: planSchema }),
   z.strictObject({ kind: z.literal('start-evacuation'), zone: id }),
   z.strictObject({ kind: z.literal('end-evacuation'), zone: id }),
   z.strictObject({ kind: z.literal('retire-backend'), retirement })
@@ -102,7 +104,7 @@
 
 const rumor = z.discriminatedUnion('topic', [
   z.object({ topic: z.literal('member'), member }),
-  z.object({ topic: z.literal('announcement'), announcement }),
+  z.object({ topic: z.literal('announcement'), announcement: announcementSchema }),
   z.object({ topic: z.literal('withdrawal'), digest: id }),
   z.object({ topic: z.literal('change'), change }),
   z.object({ topic: z.literal('vouch'), vouch }),
@@ -118,7 +120,7 @@
   entryHosts: z.array(entryHost),
   drains: z.array(z.object({ service: id, backend: id })),
   records: z.array(z.object({ key: id, fingerprint: z.string(), receipt: z.object({ index, version: index }).nullable(), error: z.object({ kind: z.string() }).loose().nullable() })),
-  plan: plan.nullable(),
+  plan: planSchema.nullable(),
   evacuations: z.array(z.object({ zone: id })),
   retirements: z.array(retirement)
 })
