Tests: an answer whose head breaks off counts as none, wherever it breaks off

A report of other operators: clients got a 200 with an empty or short body after a server had stopped in the middle of its answer's head. Not seen here: raw sockets, the head cut every five bytes and at each of its last five, with end and reset, idempotent and not, on fresh and kept connections, with and without a length: always an unknown outcome (502).

--- a/tap-snapshots/platform/hostileServer.spec.ts.test.cjs
+++ b/tap-snapshots/platform/hostileServer.spec.ts.test.cjs
@@ -5,6 +5,23 @@
  * Make sure to inspect the output below.  Do not ignore changes!
  */
 'use strict'
+exports[`platform/hostileServer.spec.ts > TAP > an answer whose head breaks off is no answer, wherever it breaks off > must match snapshot 1`] = `
+Object {
+  "end, pay": Array [
+    "unknown",
+  ],
+  "end, read": Array [
+    "unknown",
+  ],
+  "reset, pay": Array [
+    "unknown",
+  ],
+  "reset, read": Array [
+    "unknown",
+  ],
+}
+`
+
 exports[`platform/hostileServer.spec.ts > TAP > whatever one server writes, callers get their own answers, true refusals or an unknown outcome > on a fresh connection 1`] = `
 Object {
   "a length and chunks": Object {
