Messages stay below what a link accepts when hosts have missed a series of large plans

A host that missed 60 plans of 1,500 routes was sent 44.8 MB in one message; a link closes above 16 MB, so it would have asked for the same again for ever, and a replica with a lost disk would never have caught up.

--- a/src/front-end/linkCodec.ts
+++ b/src/front-end/linkCodec.ts
@@ -33,7 +33,7 @@
 /** Messages of at least this size are compressed. */
 const MIN_COMPRESSED_BYTES = 512
 /** Largest message after decompression. */
-const MAX_MESSAGE_BYTES = 16 * 1024 * 1024
+export const MAX_MESSAGE_BYTES = 16 * 1024 * 1024
 /** Compression level; a higher one takes several times longer and saves few bytes. */
 const COMPRESSION_LEVEL = 3
 
--- a/src/front-end/replicable.ts
+++ b/src/front-end/replicable.ts
@@ -6,12 +6,17 @@
 import type { Outcome } from '../core/outcome.js'
 import type { Millis } from '../core/tick.js'
 import type { Plan } from '../plan/types.js'
+import { estimatePlanBytes } from '../plan/planSize.js'
 import { firstIssue } from './jsonBody.js'
+import { MAX_MESSAGE_BYTES } from './linkCodec.js'
 import { announcementSchema, planSchema } from './messageSchema.js'
 
 /** A server can't have started later than this after now. A later start would outrank every other server at its address. */
 const MAX_CLOCK_DIFFERENCE_MS: Millis = 3_600_000
 
+/** Largest plan, half of what a link accepts. */
+const MAX_PLAN_BYTES = MAX_MESSAGE_BYTES / 2
+
 /** Returns the announcement if every host accepts it and can connect to its target, else the reason. `nowMs` is the wall clock. */
 export const checkAnnouncement = (value: unknown, nowMs: Millis): Outcome<Announcement, string> => {
   const parsed = announcementSchema.safeParse(value)
@@ -25,6 +30,7 @@
 
 /** Returns why a plan can't be replicated; null if it can. */
 export const findPlanFault = (plan: Plan): string | null => {
+  if (estimatePlanBytes(plan) > MAX_PLAN_BYTES) return 'too large'
   const parsed = planSchema.safeParse(plan)
   return parsed.success ? null : firstIssue(parsed.error)
 }
--- a/src/replicated-log/replicationSystem.ts
+++ b/src/replicated-log/replicationSystem.ts
@@ -3,6 +3,7 @@
 import type { HostId } from '../core/id.js'
 import type { Millis, System } from '../core/tick.js'
 import { NEVER } from '../core/tick.js'
+import { estimateCommandBytes } from '../plan/planSize.js'
 import { installSnapshot } from '../configuration/configurationTables.js'
 import { MAX_ENTRIES_PER_APPEND, becomeFollower, drawElectionAt, isVoter, otherReplicas, persist, quorumSize, refreshGroup, findReplicaOnHost, sendLogMessage } from './replicaSteps.js'
 import { ELECTION_TIMEOUT_MS, HEARTBEAT_INTERVAL_MS } from './timing.js'
@@ -15,6 +16,8 @@
 
 /** Entries in flight are resent after this time without a reply. */
 const RESEND_TIMEOUT_MS: Millis = 500
+/** Entries of one message, as far as they can be divided. */
+const MAX_APPEND_BYTES = 2 * 1024 * 1024
 /** A learner gets one heartbeat in this many rounds. */
 const LEARNER_HEARTBEAT_ROUNDS = 3
 /** Rounds whose send time is retained; replies to older rounds confirm nothing. */
@@ -29,6 +32,16 @@
   return row
 }
 
+// The entries that fit into one message, at least one.
+const firstEntries = (entries: readonly Entry[]): readonly Entry[] => {
+  let bytes = 0
+  for (const [position, { payload }] of entries.entries()) {
+    bytes += estimateCommandBytes(payload.kind === 'command' ? payload.envelope : null)
+    if (bytes > MAX_APPEND_BYTES && position > 0) return entries.slice(0, position)
+  }
+  return entries
+}
+
 const startRound = (tick: LogTick): void => {
   const replica = tick.tables.replica
   replica.round += 1
@@ -46,7 +59,7 @@
     sendLogMessage(tick, to, { kind: 'install', term, replica: self.replica, round, snapshot: replica.snapshot }, false)
     return
   }
-  const entries = hasEntriesInFlight ? [] : log.slice(follower.nextIndex, MAX_ENTRIES_PER_APPEND)
+  const entries = hasEntriesInFlight ? [] : firstEntries(log.slice(follower.nextIndex, MAX_ENTRIES_PER_APPEND))
   if (entries.length === 0 && !isHeartbeat) return
   const previousIndex = follower.nextIndex - 1
   const previousTerm = log.termAt(previousIndex) ?? 0
