--- a/scripts/mutants.mjs
+++ b/scripts/mutants.mjs
@@ -36,7 +36,13 @@
   { name: 'suspects-run-together', spec: 'src/suspicion/containment.spec.ts', file: 'src/suspicion/suspicionPolicy.ts', find: "return crashes > 0 ? 'suspect' : 'innocent'", replace: "return 'innocent'" },
   { name: 'suspicion-stays-local', spec: 'src/suspicion/containment.spec.ts', file: 'src/exchange/attemptSystem.ts', find: "if (suspicion !== null) spreadRumor(tick, suspicionTopic, { topic: 'suspicion', suspicion })", replace: '' },
   { name: 'return-at-once', spec: 'src/shift/shift.spec.ts', file: 'src/shift/shiftAccount.ts', find: 'row.home + 1 <= placementLimit(row, terms, awayFraction => 1 - awayFraction) + EPSILON', replace: 'row.home >= 0' },
-  { name: 'forward-the-key', spec: 'src/front-end/callerServer.spec.ts', file: 'src/front-end/callerHeaders.ts', find: 'KEY_HEADERS.has(name) || dropped', replace: 'dropped' }
+  { name: 'forward-the-key', spec: 'src/front-end/callerServer.spec.ts', file: 'src/front-end/callerHeaders.ts', find: 'KEY_HEADERS.has(name) || dropped', replace: 'dropped' },
+  { name: 'wait-for-anti-entropy', spec: 'src/gossip/changesAfterRestart.spec.ts', file: 'src/gossip/confirmationSystem.ts', find: 'if (target !== undefined) introduce(tick, target)', replace: '' },
+  { name: 'no-introduction', spec: 'src/announcement/reportsAfterRestart.spec.ts', file: 'src/replicated-log/introductionSystem.ts', find: 'for (const replica of unknownReplicas(tick.tables)) introduce(tick, replica)', replace: '' },
+  { name: 'leaving-is-forgotten', spec: 'src/server-notice/serverNotices.spec.ts', file: 'src/announcement/announcementTopic.ts', find: "if (leavingEpoch === current.epoch && next.state === 'up') return false", replace: '' },
+  { name: 'send-in-a-pause', spec: 'src/server-notice/serverNotices.spec.ts', file: 'src/backend-choice/candidates.ts', find: "if (row.pausedUntil > now) return 'paused'", replace: '' },
+  { name: 'take-what-outlasts-a-stop', spec: 'src/exchange/plannedStop.spec.ts', file: 'src/exchange/requestSystem.ts', find: "> tables.lifecycle.endBy) return 'stopping'", replace: "> Number.POSITIVE_INFINITY) return 'stopping'" },
+  { name: 'all-entries-in-one-message', spec: 'src/front-end/largePlans.spec.ts', file: 'src/replicated-log/replicationSystem.ts', find: 'firstEntries(log.slice(follower.nextIndex, MAX_ENTRIES_PER_APPEND))', replace: 'log.slice(follower.nextIndex, MAX_ENTRIES_PER_APPEND)' }
 ]
 
 const wanted = process.argv.slice(2)
