--- a/src/suspicion/containment.spec.ts
+++ b/src/suspicion/containment.spec.ts
@@ -53,6 +53,36 @@
   }
 })
 
+// A caller sends an innocent request again together with the crashing one, at the same host, so that both are lost together at first.
+const runBeside = (seed: number): { readonly crashes: number, readonly innocent: string[] } => {
+  const fleet = new VirtualFleet(seed)
+  fleet.network.delay = delayByRegion(27)
+  const builder = new ConfigurationBuilder().profile(defaultTerms).service('lookup').hosts(locations).workspace('w', 1_000, 500).workspace('v', 1_000, 500)
+  const entry = new VirtualEntry(fleet, locations, builder.snapshot(), () => ({ ...defaultPolicies(), suspicion: new SharedSuspicion() }))
+  for (const zone of ['n1', 'n2', 'm1', 'm2', 's1', 's2']) entry.addServer('lookup', `server-${zone}`, zone, 5, 200)
+  fleet.runFor(10_000)
+  for (let n = 0; n < 6; n += 1) {
+    const host = locations[(seed + n * 5) % locations.length]?.host ?? ''
+    fleet.schedule(n * 2_500, () => {
+      entry.send(host, { service: 'lookup', workspace: 'w', method: 'POST', path: CRASHING_PATH })
+      entry.send(host, { service: 'lookup', workspace: 'v', method: 'POST', path: '/innocent' })
+    })
+  }
+  fleet.runFor(25_000)
+  let crashes = 0
+  for (const server of entry.servers.values()) crashes += server.crashCount
+  return { crashes, innocent: entry.outcomes.filter(row => row.workspace === 'v').map(row => `${row.kind} ${row.reason}`.trim()) }
+}
+
+t.test('an innocent request that is lost beside the crashing one is told from it', async t => {
+  for (const seed of [1, 2, 3, 4]) {
+    const { crashes, innocent } = runBeside(seed)
+    t.ok(crashes <= 3, `seed ${seed}: ${crashes} servers`)
+    t.notOk(innocent.includes('refused crash-suspect'), `seed ${seed}: ${innocent.join(', ')}`)
+    t.ok(innocent.filter(outcome => outcome !== 'served').length <= 1, `seed ${seed}: at most its first run is lost`)
+  }
+})
+
 t.test('the baseline loses more than three servers', async t => {
   const result = run(1, () => new NoSuspicion(), 'POST', 8, 500)
   t.ok(result.crashes > 3, `${result.crashes} servers`)
