--- a/src/model/deploymentRun.ts
+++ b/src/model/deploymentRun.ts
@@ -98,11 +98,17 @@
 
   #injectFault (fault: DeploymentFault): void {
     const servers = [...this.entry.servers.values()]
-    if (fault.kind === 'lose-caches') this.#loseCaches(servers, fault.zone)
-    else if (fault.kind === 'move-callers') this.#movedFraction.set(fault.from, fault)
-    else for (const server of servers) server.slowdownFactor = this.fleet.random.unit() < fault.fraction ? fault.factor : 1
+    switch (fault.kind) {
+      case 'lose-caches': this.#loseCaches(servers, fault.zone); return
+      case 'move-callers': this.#movedFraction.set(fault.from, fault); return
+      case 'slow': for (const server of servers) server.slowdownFactor = this.#isHit(fault) ? fault.factor : 1; return
+      case 'leave': for (const server of servers) server.isLeaving = this.#isHit(fault); return
+      case 'pause': for (const server of servers) server.pauseUntil = this.#isHit(fault) ? this.fleet.now + fault.forMs : 0
+    }
   }
 
+  #isHit ({ fraction }: { readonly fraction: number }): boolean { return this.fleet.random.unit() < fraction }
+
   #loseCaches (servers: readonly VirtualServer[], zone: string): void {
     for (const server of servers) {
       if (server.announcement.zone === zone) server.cache?.objects.clear()
--- a/src/model/deploymentSchema.ts
+++ b/src/model/deploymentSchema.ts
@@ -10,7 +10,9 @@
 const fault = z.discriminatedUnion('kind', [
   z.strictObject({ atMs: z.number(), kind: z.literal('lose-caches'), zone: z.string() }).describe('the servers of a zone lose their cached objects'),
   z.strictObject({ atMs: z.number(), kind: z.literal('slow'), fraction: z.number().min(0).max(1), factor: positive }).describe('a fraction of all servers takes longer, until the end'),
-  z.strictObject({ atMs: z.number(), kind: z.literal('move-callers'), from: z.string(), to: z.string(), fraction: z.number().min(0).max(1) }).describe('callers of a zone use the entry hosts of another one')
+  z.strictObject({ atMs: z.number(), kind: z.literal('move-callers'), from: z.string(), to: z.string(), fraction: z.number().min(0).max(1) }).describe('callers of a zone use the entry hosts of another one'),
+  z.strictObject({ atMs: z.number(), kind: z.literal('leave'), fraction: z.number().min(0).max(1) }).describe('a fraction of all servers says in their answers that they leave'),
+  z.strictObject({ atMs: z.number(), kind: z.literal('pause'), fraction: z.number().min(0).max(1), forMs: positive }).describe('a fraction of all servers turns requests away and asks for a pause that ends for all at once')
 ])
 
 const deploymentSchema = z.strictObject({
--- a/src/model/experiment.spec.ts
+++ b/src/model/experiment.spec.ts
@@ -39,6 +39,12 @@
   }
 })
 
+t.test('a third of the servers leaves, and later all of them ask for a pause: the bounds of the registry deployment hold', async t => {
+  const registry = load('deployments/registry.yaml')
+  const rows = runExperiment(registry, () => {})
+  t.same(findMissedBounds(registry, rows), [], renderExperiment(registry, rows))
+})
+
 t.test('each problem of a deployment file is reported with its path', async t => {
   const folder = mkdtempSync(join(tmpdir(), 'rhubarbseam-deployment-'))
   t.teardown(() => { rmSync(folder, { recursive: true }) })
