Retry-After: 0 is no pause and leaves a server's limit as it is

Found on reading: a 503 with Retry-After 0 set the end of a pause to the present, so the server's limit grew back from a quarter within 2 s as after a real one. serverNotices.spec.ts failed before.

--- a/src/server-notice/noticeSystem.ts
+++ b/src/server-notice/noticeSystem.ts
@@ -32,7 +32,7 @@
     if (isLeaving && markLeaving(tick, server)) {
       tick.tables.journal.append({ at: tick.now, event: 'server-leaving', subject: server.key, facts: { epoch: server.announcement.epoch, source: 'answer' }, profile: null })
     }
-    if (pauseMs === null || tick.now + pauseMs <= server.pausedUntil) return
+    if (pauseMs === null || pauseMs === 0 || tick.now + pauseMs <= server.pausedUntil) return
     const isPaused = server.pausedUntil > tick.now
     server.pausedUntil = tick.now + pauseMs
     if (!isPaused) tick.tables.journal.append({ at: tick.now, event: 'server-paused', subject: server.key, facts: { epoch: server.announcement.epoch, forMs: pauseMs }, profile: null })
--- a/src/server-notice/serverNotices.spec.ts
+++ b/src/server-notice/serverNotices.spec.ts
@@ -8,6 +8,7 @@
 import { VirtualFleet } from '../stand-ins/virtualFleet.js'
 import type { VirtualServer } from '../stand-ins/virtualServer.js'
 import { createLocations } from '../stand-ins/virtualTopology.js'
+import { NoticeSystem } from './noticeSystem.js'
 
 const SLOTS = 4
 const WORK_MS: Millis = 100
@@ -129,3 +130,21 @@
   t.ok(mergeAnnouncement(tables, announce({ sequence: 5, state: 'draining' }), 0))
   t.match(tables.backends.get('a/one')?.announcement, { state: 'draining', sequence: 9 })
 })
+
+t.test('a pause of 0 is none, a shorter one does not end a longer one, and a restarted server has asked for nothing', async t => {
+  const { fleet, entry } = start(1)
+  const tables = entry.tables('n1-1')
+  const server = tables.backends.get('s/n1-b0')
+  if (server === undefined) throw new Error('no server')
+  const pauseFor = (pauseMs: Millis, epoch = server.announcement.epoch): Millis => {
+    new NoticeSystem().run({ now: fleet.now, random: fleet.random, tables, inbox: [{ kind: 'attempt', exchange: toId('x'), attempt: toId('x.1'), result: { kind: 'lost', reason: '' }, notice: { backend: server.key, epoch, isLeaving: false, pauseMs } }], emit: () => {} })
+    return Math.max(0, server.pausedUntil - fleet.now)
+  }
+  t.equal(pauseFor(0), 0)
+  t.equal(server.pausedUntil, 0, 'its limit stays as it was')
+  t.equal(pauseFor(3_000, server.announcement.epoch + 1), 0, 'said by another process')
+  t.equal(pauseFor(3_000), 3_000)
+  t.equal(pauseFor(1_000), 3_000)
+  mergeAnnouncement(tables, { ...server.announcement, epoch: server.announcement.epoch + 1 }, fleet.now)
+  t.equal(server.pausedUntil, 0)
+})
