--- a/src/front-end/callerServer.ts
+++ b/src/front-end/callerServer.ts
@@ -1,33 +1,28 @@
 /** HTTP server for callers: converts requests to inbox rows, and outbox rows to attempts and responses. */
 
 import { createServer } from 'node:http'
-import type { ServerNotice } from '../server-notice/types.js'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
-import { Readable } from 'node:stream'
 import type { Socket } from 'node:net'
 import { toId } from '../core/id.js'
-import type { AttemptId, ExchangeId } from '../core/id.js'
-import type { EntryInput, EntryOutput } from '../entry/types.js'
-import type { AttemptResult, AttemptStarted, RequestReceived, RequestRefused } from '../exchange/types.js'
+import type { ExchangeId } from '../core/id.js'
+import type { EntryOutput } from '../entry/types.js'
+import type { RequestReceived, RequestRefused } from '../exchange/types.js'
 import { digestKey } from '../key-check/keyCheck.js'
 import type { LookupAnswered, LookupId } from '../lookup/types.js'
 import { parseTicket } from '../idempotency/recordPlacement.js'
 import type { AnswerReplayed } from '../idempotency/types.js'
 import { listenOn } from '../process/listen.js'
-import { relayResponse } from './responseRelay.js'
 import type { Address } from '../core/address.js'
-import type { Metrics } from '../observability/metrics.js'
 import { endSpan } from '../observability/tracing.js'
-import type { RequestTrace, Tracing } from '../observability/tracing.js'
-import { AttemptClient, classifyFailure, discardResponse } from './attemptClient.js'
-import type { BackendResponse, AttemptRequest, RunningAttempt } from './attemptClient.js'
+import { AttemptRelay } from './attemptRelay.js'
+import type { AttemptRelayOptions } from './attemptRelay.js'
 import { CallerConnection } from './callerConnection.js'
-import type { ConnectionRequest } from './callerConnection.js'
-import type { CallerProtocol, ParsedRequest, CallerRequest } from './callerProtocol.js'
+import type { CallerExchange } from './callerExchange.js'
+import type { ParsedRequest, CallerRequest } from './callerProtocol.js'
 import { sendJson } from './jsonBody.js'
 import { EventLoopMonitor } from './eventLoopMonitor.js'
-import { EMPTY_BODY, limitBody, readBody } from './requestBody.js'
-import type { BodyLimits, RequestBody } from './requestBody.js'
+import { EMPTY_BODY, readBody } from './requestBody.js'
+import type { BodyLimits } from './requestBody.js'
 
 const HEADERS_TIMEOUT_MS = 5_000
 const REQUEST_TIMEOUT_MS = 120_000
@@ -35,49 +30,27 @@
 const MS_PER_SECOND = 1_000
 const MAX_REQUEST_ID_LENGTH = 128
 
-export interface CallerServerOptions {
+export interface CallerServerOptions extends AttemptRelayOptions {
   /** Prefix of the exchange and look-up ids that this server creates. */
   readonly host: string
   readonly listen: Address
-  readonly protocol: CallerProtocol
   readonly limits: BodyLimits & { readonly headerBytes: number, readonly connections: number }
-  readonly metrics: Metrics
-  readonly tracing: Tracing | null
-  readonly push: (row: EntryInput) => void
   /** Whether the process is shutting down, so that connections are closed after each response. */
   readonly isLeaving: () => boolean
 }
 
-type AttemptSpan = ReturnType<Tracing['startAttempt']> | null
-
-interface Exchange extends ConnectionRequest {
-  readonly exchange: ExchangeId
-  readonly connection: CallerConnection
-  /** The service or authority that the caller addressed; a label in metrics and traces. */
-  readonly subject: string
-  readonly callerRequest: CallerRequest
-  readonly request: IncomingMessage
-  readonly response: ServerResponse
-  /** Empty until the body has arrived. */
-  body: RequestBody
-  readonly trace: RequestTrace | null
-  readonly receivedAt: number
-  /** Whether the request has been handed to the tick. */
-  isStarted: boolean
-  running: { attempt: AttemptId, handle: RunningAttempt, backendResponse: BackendResponse | null, keepsAnswer: boolean } | null
-}
-
 /** Serves callers over HTTP. */
 export class CallerServer {
   readonly #server: Server
-  readonly #client = new AttemptClient()
+  readonly #attempts: AttemptRelay
   readonly #eventLoop = new EventLoopMonitor()
-  readonly #exchanges = new Map<ExchangeId, Exchange>()
+  readonly #exchanges = new Map<ExchangeId, CallerExchange>()
   readonly #lookups = new Map<LookupId, ServerResponse>()
   readonly #connections = new WeakMap<Socket, CallerConnection>()
   #idCount = 0
 
   constructor (readonly options: CallerServerOptions) {
+    this.#attempts = new AttemptRelay(options, id => this.#exchanges.get(id), exchange => this.#mustClose(exchange))
     this.#server = createServer({
       maxHeaderSize: options.limits.headerBytes,
       headersTimeout: HEADERS_TIMEOUT_MS,
@@ -97,9 +70,9 @@
     switch (row.kind) {
       case 'lookup-answer': this.#answerLookup(row); return
       case 'refuse': this.#sendRefusal(row); return
-      case 'start-attempt': this.#startAttempt(row); return
-      case 'relay-answer': this.#relayResponse(row.exchange, row.attempt); return
-      case 'abandon-attempt': this.#abandonAttempt(row.exchange, row.attempt); return
+      case 'start-attempt': this.#attempts.start(row); return
+      case 'relay-answer': this.#attempts.relay(row.exchange, row.attempt); return
+      case 'abandon-attempt': this.#attempts.abandon(row.exchange, row.attempt); return
       case 'replay-answer': this.#replayResponse(row); return
       case 'defer-request': this.#deferRequest(row.exchange); return
       case 'cut-answer': this.#cutConnection(row.exchange)
@@ -113,7 +86,7 @@
     const timer = setTimeout(() => { this.#server.closeAllConnections() }, graceMs)
     await closed
     clearTimeout(timer)
-    await this.#client.close()
+    await this.#attempts.close()
   }
 
   #nextId (): string {
@@ -182,10 +155,10 @@
     connection.ready(row)
   }
 
-  #createExchange (connection: CallerConnection, request: IncomingMessage, response: ServerResponse, callerRequest: CallerRequest): Exchange {
+  #createExchange (connection: CallerConnection, request: IncomingMessage, response: ServerResponse, callerRequest: CallerRequest): CallerExchange {
     const { target } = callerRequest
     const subject = target.kind === 'service' ? target.service : target.authority
-    const row: Exchange = {
+    const row: CallerExchange = {
       exchange: this.#createExchangeId(callerRequest),
       connection,
       subject,
@@ -204,7 +177,7 @@
   }
 
   // Called again for a request that was deferred.
-  #startExchange (row: Exchange, isBehind: boolean): void {
+  #startExchange (row: CallerExchange, isBehind: boolean): void {
     const { response } = row
     if (!row.isStarted) {
       row.isStarted = true
@@ -214,7 +187,7 @@
     this.options.push(this.#describeRequest(row, isBehind))
   }
 
-  #describeRequest ({ exchange, request, callerRequest, body, receivedAt }: Exchange, isBehind: boolean): RequestReceived {
+  #describeRequest ({ exchange, request, callerRequest, body, receivedAt }: CallerExchange, isBehind: boolean): RequestReceived {
     const { target, path, key, timeoutMs, affinity, idempotencyKey } = callerRequest
     const method = request.method ?? 'GET'
     const readAt = performance.now()
@@ -243,7 +216,7 @@
     row?.connection.defer(row)
   }
 
-  #finishExchange (row: Exchange): void {
+  #finishExchange (row: CallerExchange): void {
     if (!this.#exchanges.delete(row.exchange)) return
     const { response, trace, subject } = row
     row.connection.end(row)
@@ -273,75 +246,8 @@
     this.options.protocol.refuse(exchange.request, response, row, isBodyUnread || this.#mustClose(exchange))
   }
 
-  #startAttempt (row: AttemptStarted): void {
-    const exchange = this.#exchanges.get(row.exchange)
-    if (exchange === undefined) return
-    const span = exchange.trace === null ? null : this.options.tracing?.startAttempt(exchange.trace, row) ?? null
-    const handle = this.#client.send(this.#createAttemptRequest(exchange, row, span))
-    exchange.running = { attempt: row.attempt, handle, backendResponse: null, keepsAnswer: row.keepsAnswer }
-    handle.response.then(
-      backendResponse => { this.#handleResponse(exchange, row, backendResponse, span) },
-      (error: unknown) => {
-        const failure = classifyFailure(error)
-        if (span !== null) endSpan(span, failure.reason, true)
-        this.#reportResult(row, failure, null)
-      }
-    )
-  }
-
-  #createAttemptRequest (exchange: Exchange, row: AttemptStarted, span: AttemptSpan): AttemptRequest {
-    const { request, body, callerRequest, trace } = exchange
-    const headers = this.options.protocol.attemptHeaders(request, callerRequest, row)
-    if (trace !== null && span !== null) this.options.tracing?.inject(trace, span, headers)
-    return {
-      origin: originOf(row),
-      path: callerRequest.path,
-      method: request.method ?? 'GET',
-      headers,
-      body: body.buffered === null ? Readable.from(limitBody(request, this.options.limits.bodyBytes)) : (body.buffered.length === 0 ? null : body.buffered),
-      isIdempotent: row.idempotent,
-      mayKeepConnection: this.options.protocol.attemptName.isAlwaysSent,
-      timeoutMs: row.timeoutMs
-    }
-  }
-
-  #handleResponse (exchange: Exchange, row: AttemptStarted, backendResponse: BackendResponse, span: AttemptSpan): void {
-    const { protocol } = this.options
-    const responseClass = protocol.classifyResponse(exchange.request, backendResponse, row)
-    const notice = protocol.readNotice(backendResponse)
-    if (backendResponse.headers[protocol.attemptName.header] !== undefined) this.#client.keepConnections(originOf(row))
-    if (responseClass === 'answer' && exchange.running?.attempt === row.attempt) exchange.running.backendResponse = backendResponse
-    else discardResponse(backendResponse)
-    if (span !== null) endSpan(span, String(backendResponse.statusCode), backendResponse.statusCode >= 500)
-    if (responseClass === 'misdirected') this.#reportResult(row, { kind: 'misdirected' }, null)
-    else if (responseClass === 'stray') this.#reportResult(row, { kind: 'lost', reason: 'STRAY_ANSWER' }, notice)
-    else this.#reportResult(row, { kind: 'head', status: backendResponse.statusCode, shed: responseClass === 'shed', load: protocol.readLoad(backendResponse.headers), isWhole: Buffer.isBuffer(backendResponse.body) }, notice)
-  }
-
-  #reportResult (row: AttemptStarted, result: AttemptResult, notice: ServerNotice | null): void {
-    const { metrics, push } = this.options
-    metrics.attempts.inc({ result: result.kind })
-    if (notice?.isLeaving === true) metrics.serverNotices.inc({ kind: 'leaving' })
-    if (notice !== null && notice.pauseMs !== null) metrics.serverNotices.inc({ kind: 'pause' })
-    push({ kind: 'attempt', exchange: row.exchange, attempt: row.attempt, result, notice: notice === null ? null : { ...notice, backend: row.backend, epoch: row.epoch } })
-  }
-
-  #relayResponse (id: ExchangeId, attempt: AttemptId): void {
-    const exchange = this.#exchanges.get(id)
-    const backendResponse = exchange?.running?.attempt === attempt ? exchange.running.backendResponse : null
-    if (exchange === undefined || backendResponse === null) return
-    void this.#streamResponse(exchange, attempt, backendResponse)
-  }
-
-  async #streamResponse (exchange: Exchange, attempt: AttemptId, backendResponse: BackendResponse): Promise<void> {
-    const headers = this.options.protocol.responseHeaders(backendResponse.headers)
-    if (this.#mustClose(exchange)) headers.connection = 'close'
-    const result = await relayResponse(exchange.response, backendResponse, headers, exchange.running?.keepsAnswer === true)
-    this.options.push({ kind: 'attempt', exchange: exchange.exchange, attempt, result })
-  }
-
   // During a shutdown the last answer of a connection closes it.
-  #mustClose (exchange: Exchange): boolean { return this.options.isLeaving() && exchange.connection.mayCloseAfter(exchange) }
+  #mustClose (exchange: CallerExchange): boolean { return this.options.isLeaving() && exchange.connection.mayCloseAfter(exchange) }
 
   #replayResponse (row: AnswerReplayed): void {
     const response = this.#exchanges.get(row.exchange)?.response
@@ -350,13 +256,6 @@
     response.end(row.answer.body)
   }
 
-  #abandonAttempt (id: ExchangeId, attempt: AttemptId): void {
-    const exchange = this.#exchanges.get(id)
-    if (exchange?.running?.attempt !== attempt) return
-    exchange.running.handle.abort()
-    exchange.running = null
-  }
-
   #cutConnection (id: ExchangeId): void { this.#exchanges.get(id)?.response.destroy() }
 
   #rejectMalformed (error: NodeJS.ErrnoException, socket: Socket): void {
@@ -374,8 +273,6 @@
   }
 }
 
-const originOf = ({ target }: AttemptStarted): string => `http://${target.address}:${target.port}`
-
 const ticketAgeMsOf = (idempotencyKey: string): number | null => {
   const ticket = parseTicket(idempotencyKey)
   return ticket === null ? null : Math.max(0, Date.now() - ticket.issuedAt)
