changesAfterRestart.spec.ts comes beside real load

Found on reading: its 200 requests a second were refused, as no plan was in force and no server known, so they were no load.

--- a/src/gossip/changesAfterRestart.spec.ts
+++ b/src/gossip/changesAfterRestart.spec.ts
@@ -11,14 +11,17 @@
 const DOWN_MS: Millis = 800
 const SPREAD_MS: Millis = 300
 const SEEDS = Array.from({ length: 12 }, (_, seed) => seed + 1)
+/** Fraction of the requests that must be served, so that the changes come beside load. */
+const MIN_SERVED = 0.8
+const REQUESTS_PER_S = 200
+const LOAD_MS: Millis = 30_000
 const STARVATION = { runMs: 20, minStallMs: 100, maxStallMs: 1_000 }
 
 // Each restart comes at another phase of the fleet's timers, amid changes and requests.
 const runRestarts = (seed: number, isStarved: boolean, restart: (series: ChangeSeries) => void): ChangeSeries => {
   const series = new ChangeSeries(seed)
-  const { fleet, entry, hosts } = series
-  entry.addServer('s', 'server', 'n1', 100, 20)
-  entry.sendAtRate('w', 's', 200, fleet.now, fleet.now + 45_000, (_, n) => hosts[n % hosts.length] ?? '')
+  const { fleet, hosts } = series
+  series.sendLoad(REQUESTS_PER_S, LOAD_MS)
   for (const [position, host] of hosts.entries()) {
     if (isStarved && position % 4 === 0) series.starve(host, STARVATION)
   }
@@ -45,7 +48,9 @@
   series.watchedFrom = series.fleet.now + SETTLED_MS - 2_000 + DOWN_MS + SPREAD_MS
 }
 
-const checkLag = (t: Test, what: string, { longestLagMs, longestLagOn }: ChangeSeries): void => {
+const checkLag = (t: Test, what: string, { longestLagMs, longestLagOn, entry }: ChangeSeries): void => {
+  const served = entry.outcomes.filter(outcome => outcome.kind === 'served').length
+  t.ok(served >= MIN_SERVED * REQUESTS_PER_S * LOAD_MS / 1_000, `${what}: ${served} requests are served meanwhile`)
   t.ok(longestLagMs <= IN_FORCE_MS, `${what}: ${longestLagMs} ms (${longestLagOn})`)
 }
 
--- a/src/stand-ins/changeSeries.ts
+++ b/src/stand-ins/changeSeries.ts
@@ -4,6 +4,7 @@
 import type { HostId, OperatorId, RequestId, ZoneId } from '../core/id.js'
 import type { Millis } from '../core/tick.js'
 import type { CommandEnvelope, LogIndex } from '../configuration/types.js'
+import type { Plan } from '../plan/types.js'
 import { AutomaticAdmission } from '../replicated-log/replicaAdmission.js'
 import type { CallId } from '../replicated-log/types.js'
 import { ConfigurationBuilder, defaultTerms } from './configurationBuilder.js'
@@ -20,10 +21,26 @@
 /** Time after which an operator sends an unanswered change to the next control host. */
 const OPERATOR_TIMEOUT_MS: Millis = 1_000
 const SAMPLE_MS: Millis = 20
+const AUTHORITY = 'a.example'
+const PREFIX = '/read/'
+const SLOTS = 20
+const WORK_MS: Millis = 40
+
+const plan: Plan = {
+  version: 1,
+  terms: { ...defaultTerms, shiftCap: 1 },
+  routes: [{ route: toId('read'), authority: AUTHORITY, prefix: PREFIX, repetition: 'idempotent', timeoutMs: 2_000, targetMs: 500, rank: 0, split: [{ service: toId('s'), weight: 1 }], attempts: 2, isOpen: true, hasAffinity: false, allowedRegions: [] }],
+  services: [{ service: toId('s'), healthPath: '/health', connections: 100, warmup: { coldMs: 0, ratePerS: 100 } }],
+  workspaces: [],
+  document: null
+}
 
 /** A change that a control host has acknowledged. */
 interface AcknowledgedChange { readonly index: LogIndex, readonly at: Millis }
 
+/** A change that no control host has acknowledged yet. */
+interface PendingChange { readonly envelope: CommandEnvelope, readonly call: CallId, readonly sentAt: Millis }
+
 /** Bounds of the random stalls of a host that gets too little processor time. */
 export interface Starvation { readonly runMs: Millis, readonly minStallMs: Millis, readonly maxStallMs: Millis }
 
@@ -32,6 +49,8 @@
   readonly fleet: VirtualFleet
   readonly control: VirtualControl
   readonly entry: VirtualEntry
+  /** The entry hosts. */
+  readonly hosts: readonly HostId[]
   readonly acknowledged: AcknowledgedChange[] = []
   /** Longest time for which a running entry host has lacked an acknowledged change, while it was watched. */
   longestLagMs: Millis = 0
@@ -39,9 +58,8 @@
   longestLagOn = ''
   /** Time from which the lag counts. */
   watchedFrom: Millis = 0
-  readonly #isStarved = new Set<HostId>()
   #changeCount = 0
-  #target = 0
+  #sendCount = 0
 
   constructor (seed: number, hostsPerZone = 4) {
     this.fleet = new VirtualFleet(seed)
@@ -54,22 +72,30 @@
     })
     const seeds = this.control.hosts.slice(0, SEED_COUNT).map(host => ({ host, link: { address: host, port: 1 } }))
     const locations = createLocations(['n', 'm', 's'], 2, hostsPerZone)
-    const snapshot = new ConfigurationBuilder().profile(defaultTerms).service('s').workspace('w', 1e6, 1e6).snapshot()
-    this.entry = new VirtualEntry(this.fleet, [], { ...snapshot, index: 0 }, undefined, 'tiered', seeds)
-    for (const location of locations) this.entry.startHost(location, false)
+    this.entry = new VirtualEntry(this.fleet, locations, { ...new ConfigurationBuilder().snapshot(), index: 0 }, undefined, 'tiered', seeds)
     this.hosts = locations.map(({ host }) => toId<HostId>(host))
+    for (const host of this.hosts) Object.assign(this.entry.tables(host).gossip, { vouch: null, confirmedAt: null })
+    for (const zone of new Set(locations.map(location => location.zone))) this.entry.addServer('s', `server-${zone}`, zone, SLOTS, WORK_MS)
+    this.fleet.runFor(START_MS)
+    this.#send({ requestId: toId<RequestId>('plan'), operator: toId<OperatorId>('ann'), roles: ['draft', 'approve', 'assign'], command: { kind: 'put-plan', plan } })
     this.fleet.runFor(START_MS)
     this.watchedFrom = this.fleet.now
   }
 
-  readonly hosts: readonly HostId[]
+  /** Sends requests to all entry hosts in turn for a time. */
+  sendLoad (perSecond: number, forMs: Millis): void {
+    const intervalMs = 1_000 / perSecond
+    for (let number = 0; number * intervalMs < forMs; number += 1) {
+      const host = this.hosts[number % this.hosts.length] ?? ''
+      this.fleet.schedule(number * intervalMs, () => { this.entry.send(host, { service: 's', workspace: '', authority: AUTHORITY, path: `${PREFIX}${number}` }) })
+    }
+  }
 
   /** Lets an entry host run only between random stalls, as under a processor that others use up. */
   starve (host: HostId, { runMs, minStallMs, maxStallMs }: Starvation): void {
-    this.#isStarved.add(host)
     const stall = (): void => {
       const node = this.fleet.nodes.get(host)
-      if (node === undefined || !this.#isStarved.has(host)) return
+      if (node === undefined) return
       node.isFrozen = true
       this.fleet.schedule(minStallMs + this.fleet.random.below(maxStallMs - minStallMs), () => {
         node.isFrozen = false
@@ -91,7 +117,7 @@
   runFor (durationMs: Millis, intervalMs: Millis): void {
     const end = this.fleet.now + durationMs
     let nextChangeAt = this.fleet.now
-    let pending: { readonly envelope: CommandEnvelope, call: CallId, sentAt: Millis } | null = null
+    let pending: PendingChange | null = null
     while (this.fleet.now < end) {
       if (pending === null && this.fleet.now >= nextChangeAt) {
         const envelope = this.#nextChange()
@@ -112,13 +138,14 @@
 
   #send (envelope: CommandEnvelope): CallId {
     const [leader] = this.control.leaders()
-    const host = leader ?? this.control.hosts[this.#target % this.control.hosts.length]
-    this.#target += 1
+    const host = leader ?? this.control.hosts[this.#sendCount % this.control.hosts.length]
+    this.#sendCount += 1
     if (host === undefined) throw new Error('no control host')
     return this.control.propose(host, envelope)
   }
 
-  #settle (pending: { readonly envelope: CommandEnvelope, call: CallId, sentAt: Millis } | null): typeof pending {
+  // Returns the change if it still waits for an acknowledgement.
+  #settle (pending: PendingChange | null): PendingChange | null {
     if (pending === null) return null
     const answer = this.control.proposalAnswers.get(pending.call)
     if (answer?.receipt !== null && answer?.receipt !== undefined) {
