A saturated entry host serves one request in eight, so that refusals alone cannot end all service

Cause: while the utilization of the event loop is above 0.95 every request is refused unread. Callers that return at once keep the loop above that by their refusals alone, so no request is ever served again. Ruled out: the servers' limits (inFlight 0), ejection, pauses, the late-request rule of the dispatch (same rows).

--- a/src/exchange/types.ts
+++ b/src/exchange/types.ts
@@ -57,7 +57,7 @@
   readonly affinity: string | null
   /** When the edge had read the request, by the tick clock; null if unknown. */
   readonly readAt?: Millis | null
-  /** Whether the process was constantly busy before it read the request, so that the request may have waited unread for long. */
+  /** Whether to refuse the request because the process was constantly busy before it read it, so that it may have waited unread for long. */
   readonly isLate?: boolean
   /** Timeout that the caller asked for, limited by that of the route or the service; null if none. */
   readonly timeoutMs: Millis | null
--- a/src/front-end/callerServer.ts
+++ b/src/front-end/callerServer.ts
@@ -23,6 +23,7 @@
 import { EventLoopMonitor } from './eventLoopMonitor.js'
 import { EMPTY_BODY, readBody } from './requestBody.js'
 import type { BodyLimits } from './requestBody.js'
+import { SaturationLimit } from './saturationLimit.js'
 
 const HEADERS_TIMEOUT_MS = 5_000
 const REQUEST_TIMEOUT_MS = 120_000
@@ -44,6 +45,7 @@
   readonly #server: Server
   readonly #attempts: AttemptRelay
   readonly #eventLoop = new EventLoopMonitor()
+  readonly #saturationLimit = new SaturationLimit()
   readonly #exchanges = new Map<ExchangeId, CallerExchange>()
   readonly #lookups = new Map<LookupId, ServerResponse>()
   readonly #connections = new WeakMap<Socket, CallerConnection>()
@@ -200,7 +202,7 @@
       key: key === null ? null : digestKey(key),
       affinity,
       readAt,
-      isLate: this.#eventLoop.isSaturated(),
+      isLate: this.#saturationLimit.refuses(this.#eventLoop.isSaturated()),
       timeoutMs,
       fingerprint: `${method} ${path} ${body.digest}`,
       replayable: body.replayable,
