Control hosts to ask are composed from the lists that stand; one constant for the unknown address; constants without users elsewhere are not exported

Left from the last reading: knownControls repeated the loop of liveControls; the address that means "only over an open link" stood in two places; three constants were exported without need; a doc line was missing. No change of behaviour.

--- a/src/backend-choice/candidates.ts
+++ b/src/backend-choice/candidates.ts
@@ -57,7 +57,7 @@
   FILL_LIMIT - (FILL_LIMIT - RESERVED_FILL_LIMIT) * Math.min(1, urgentFraction / FULL_RESERVE_URGENT_FRACTION)
 
 /** Time after a pause within which a server gets its full load again. */
-export const RESUME_MS: Millis = 2_000
+const RESUME_MS: Millis = 2_000
 const MIN_RESUME_FRACTION = 0.25
 
 // Fraction of its usual limit that a server gets after a pause, as other hosts return to it at about the same time.
--- a/src/front-end/attemptRelay.ts
+++ b/src/front-end/attemptRelay.ts
@@ -18,6 +18,7 @@
 
 type AttemptSpan = ReturnType<Tracing['startAttempt']> | null
 
+/** What relayed attempts need from the process. */
 export interface AttemptRelayOptions {
   readonly protocol: CallerProtocol
   readonly limits: BodyLimits
--- a/src/gossip/confirmationSystem.ts
+++ b/src/gossip/confirmationSystem.ts
@@ -7,9 +7,9 @@
 import type { GossipInput, GossipOutput, GossipTick } from './gossipSteps.js'
 
 /** Age of the newest vouch from which a host asks for another one; the leader issues one every second. */
-export const CONFIRMATION_OVERDUE_MS: Millis = 1_300
+const CONFIRMATION_OVERDUE_MS: Millis = 1_300
 /** Minimum time between two questions. */
-export const ASK_INTERVAL_MS: Millis = 400
+const ASK_INTERVAL_MS: Millis = 400
 /** Added per known member, so that the hosts of a large fleet don't overload the control hosts while these elect a leader. */
 const ASK_INTERVAL_PER_MEMBER_MS: Millis = 0.2
 /** Age of the newest vouch from which a host counts as partitioned off and asks less often. */
--- a/src/gossip/dissemination.ts
+++ b/src/gossip/dissemination.ts
@@ -58,17 +58,10 @@
   return controls
 }
 
-/** All known control hosts, then those that count as dead, as they may have started again, and seeds that are not members yet. */
-export const knownControls = ({ members, gossip }: Pick<RumorTables, 'gossip' | 'members'>): readonly Seed[] => {
-  const living: Member[] = []
-  const dead: Member[] = []
-  for (const { member } of members.rows()) {
-    if (member.role !== 'control' || member.host === gossip.self.host) continue
-    const list = member.state === 'dead' ? dead : living
-    list.push(member)
-  }
-  const unknown = unknownSeeds({ members, gossip })
-  return [...living, ...dead, ...unknown]
+/** Control hosts not known to be dead, then the dead ones, as they may have started again, and seeds that are not members yet. */
+export const knownControls = (tables: RumorTables): readonly Seed[] => {
+  const dead = deadMembers(tables).filter(member => member.role === 'control')
+  return [...liveControls(tables), ...dead, ...unknownSeeds(tables)]
 }
 
 /** Removes a host from a list of members. */
--- a/src/gossip/gossipSteps.ts
+++ b/src/gossip/gossipSteps.ts
@@ -6,6 +6,7 @@
 import type { RumorTables } from '../membership/rumorTopic.js'
 import { spreadRumor } from '../membership/spreadRumor.js'
 import { readSyncState } from './syncDigest.js'
+import { UNKNOWN_ADDRESS } from '../core/address.js'
 import type { Address } from '../core/address.js'
 import type { GossipMessage, LinkDropped, MembershipTables, MessageReceived, MessageSent, Rumor, RumorRow, Seed, Vouch } from '../membership/types.js'
 
@@ -51,8 +52,6 @@
   if (member !== undefined) sendTo(tick, to, member.link, message)
 }
 
-const UNKNOWN_ADDRESS: Address = { address: '', port: 0 }
-
 /** Answers a message; a host that is not a known member gets the answer only over the link that it has opened. */
 export const sendReply = (tick: GossipTick, to: HostId, message: GossipMessage): void => {
   sendTo(tick, to, tick.tables.members.get(to)?.member.link ?? UNKNOWN_ADDRESS, message)
--- a/src/replicated-log/replicationSystem.ts
+++ b/src/replicated-log/replicationSystem.ts
@@ -1,5 +1,6 @@
 /** Log replication: the leader sends entries or a snapshot; followers sync them to disk before they reply. */
 
+import { UNKNOWN_ADDRESS } from '../core/address.js'
 import type { HostId } from '../core/id.js'
 import type { Millis, System } from '../core/tick.js'
 import { NEVER } from '../core/tick.js'
@@ -167,11 +168,10 @@
     this.#reply(tick, from, message.round, true, match)
   }
 
-  // A replica without a group has no address for the leader. This row lets it reply: as its address is empty, the reply is sent
-  // only over an existing link.
+  // A replica without a group has no address for the leader. This row lets it reply over the leader's link.
   #recordSender (tick: LogTick, from: HostId, replica: Replica['replica']): void {
     if (findReplicaOnHost(tick.tables, from) !== undefined) return
-    tick.tables.joining.put({ replica, host: from, link: { address: '', port: 0 }, heardAt: tick.now })
+    tick.tables.joining.put({ replica, host: from, link: UNKNOWN_ADDRESS, heardAt: tick.now })
   }
 
   #handleInstall (tick: LogTick, from: HostId, message: Install): void {
