--- a/src/gossip/tieredDissemination.spec.ts
+++ b/src/gossip/tieredDissemination.spec.ts
@@ -3,7 +3,8 @@
 import type { HostId, OperatorId, RequestId } from '../core/id.js'
 import type { Millis } from '../core/tick.js'
 import { ConfigurationBuilder } from '../stand-ins/configurationBuilder.js'
-import { VirtualControl } from '../stand-ins/virtualControl.js'
+import { startRegionalControl } from '../stand-ins/regionalControl.js'
+import type { VirtualControl } from '../stand-ins/virtualControl.js'
 import { VirtualEntry } from '../stand-ins/virtualEntry.js'
 import { VirtualFleet } from '../stand-ins/virtualFleet.js'
 import { createLocations, delayByRegion } from '../stand-ins/virtualTopology.js'
@@ -15,7 +16,7 @@
 const build = (seed: number): { readonly fleet: VirtualFleet, readonly control: VirtualControl, readonly entry: VirtualEntry } => {
   const fleet = new VirtualFleet(seed)
   fleet.network.delay = delayByRegion(55)
-  const control = new VirtualControl(fleet, ['n1-c', 'n2-c', 'm1-c', 'm2-c', 's1-c', 's2-c'], { dissemination: 'tiered', zoneOf: host => host.split('-', 1)[0] ?? '' })
+  const control = startRegionalControl(fleet, { founders: 6, admission: undefined })
   const entry = new VirtualEntry(fleet, locations, { ...new ConfigurationBuilder().snapshot(), index: 0 }, undefined, 'tiered')
   for (const { host } of locations) {
     const tables = entry.tables(host)
--- a/src/stand-ins/changeSeries.ts
+++ b/src/stand-ins/changeSeries.ts
@@ -5,17 +5,14 @@
 import type { Millis } from '../core/tick.js'
 import type { CommandEnvelope, LogIndex } from '../configuration/types.js'
 import type { Plan } from '../plan/types.js'
-import { AutomaticAdmission } from '../replicated-log/replicaAdmission.js'
 import type { CallId } from '../replicated-log/types.js'
 import { ConfigurationBuilder, defaultTerms } from './configurationBuilder.js'
-import { VirtualControl } from './virtualControl.js'
+import { founderSeeds, startRegionalControl } from './regionalControl.js'
+import type { VirtualControl } from './virtualControl.js'
 import { VirtualEntry } from './virtualEntry.js'
 import { VirtualFleet } from './virtualFleet.js'
 import { createLocations, delayByRegion } from './virtualTopology.js'
 
-const CONTROL_NAMES = ['n1-c', 'n2-c', 'm1-c', 'm2-c', 's1-c', 's2-c']
-/** Control hosts that found the group and are named to every starting process. */
-const SEED_COUNT = 3
 /** Time in which the fleet forms before the first change. */
 const START_MS: Millis = 15_000
 /** Time after which an operator sends an unanswered change to the next control host. */
@@ -64,15 +61,9 @@
   constructor (seed: number, hostsPerZone = 4) {
     this.fleet = new VirtualFleet(seed)
     this.fleet.network.delay = delayByRegion(35)
-    this.control = new VirtualControl(this.fleet, CONTROL_NAMES, {
-      founders: SEED_COUNT,
-      admission: () => new AutomaticAdmission(),
-      dissemination: 'tiered',
-      zoneOf: host => host.split('-', 1)[0] ?? ''
-    })
-    const seeds = this.control.hosts.slice(0, SEED_COUNT).map(host => ({ host, link: { address: host, port: 1 } }))
+    this.control = startRegionalControl(this.fleet)
     const locations = createLocations(['n', 'm', 's'], 2, hostsPerZone)
-    this.entry = new VirtualEntry(this.fleet, locations, { ...new ConfigurationBuilder().snapshot(), index: 0 }, undefined, 'tiered', seeds)
+    this.entry = new VirtualEntry(this.fleet, locations, { ...new ConfigurationBuilder().snapshot(), index: 0 }, undefined, 'tiered', founderSeeds(this.control))
     this.hosts = locations.map(({ host }) => toId<HostId>(host))
     for (const host of this.hosts) Object.assign(this.entry.tables(host).gossip, { vouch: null, confirmedAt: null })
     for (const zone of new Set(locations.map(location => location.zone))) this.entry.addServer('s', `server-${zone}`, zone, SLOTS, WORK_MS)
--- a/src/stand-ins/virtualTopology.ts
+++ b/src/stand-ins/virtualTopology.ts
@@ -19,9 +19,11 @@
   return locations
 }
 
+/** Returns the zone in the name of a host. */
+export const zoneOfHost = (host: string): string => host.split('-', 1)[0] ?? ''
+
 /** Returns a delay function: 0.5 ms within a region, `regionMs` between regions. Reads zones from host names as `createLocations` forms them. */
 export const delayByRegion = (regionMs: Millis) => (from: HostId, to: HostId): Millis => {
-  const zoneOf = (host: HostId): string => host.split('-', 1)[0] ?? ''
-  if (zoneOf(from) === zoneOf(to)) return 0.5
-  return zoneOf(from).slice(0, -1) === zoneOf(to).slice(0, -1) ? 0.5 : regionMs
+  if (zoneOfHost(from) === zoneOfHost(to)) return 0.5
+  return zoneOfHost(from).slice(0, -1) === zoneOfHost(to).slice(0, -1) ? 0.5 : regionMs
 }
