A confirmation that arrived while the process was paused or stalled counts from the start of the stall

Ruled out: timestamps of the reading code (it reads after the pause as well), the leader's own confirmations (counted from the sending of the round). Change: StallSystem notices a gap of 0.7 s or more between ticks (it makes the process tick every 0.5 s); a vouch that is read in the first 0.3 s after it counts as received at the start of the gap. A newer vouch never makes the confirmation older. No message changed. Not covered: a stall under 0.7 s, and a host that needs more than 0.3 s to read what waited.

--- a/src/control/controlWorld.ts
+++ b/src/control/controlWorld.ts
@@ -20,6 +20,7 @@
 import { createDissemination } from '../gossip/disseminationRegistry.js'
 import type { DisseminationName } from '../gossip/disseminationRegistry.js'
 import { SpreadSystem } from '../gossip/spreadSystem.js'
+import { StallSystem } from '../gossip/stallSystem.js'
 import { createMembership } from '../membership/membershipTables.js'
 import type { Member, Seed } from '../membership/types.js'
 import { CommitSystem } from '../replicated-log/commitSystem.js'
@@ -83,6 +84,7 @@
   const random = new SeededRandom(options.randomSeed)
   const dissemination = createDissemination(options.dissemination ?? 'epidemic')
   const systems = [
+    new StallSystem(),
     new GossipReceiveSystem(dissemination),
     new ReportSystem(),
     new AnnouncementSystem(options.reportExpiryMs ?? ANNOUNCEMENT_EXPIRY_MS, true),
--- a/src/entry/entryWorld.ts
+++ b/src/entry/entryWorld.ts
@@ -47,6 +47,7 @@
 import { createDissemination } from '../gossip/disseminationRegistry.js'
 import type { DisseminationName } from '../gossip/disseminationRegistry.js'
 import { SpreadSystem } from '../gossip/spreadSystem.js'
+import { StallSystem } from '../gossip/stallSystem.js'
 import type { Member, Seed } from '../membership/types.js'
 import { Journal } from '../journal/journal.js'
 import { NoSuspicion, SharedSuspicion } from '../suspicion/suspicionPolicy.js'
@@ -145,6 +146,7 @@
 export const createEntryWorld = (options: EntryWorldOptions): World<EntryTables, EntryInput, EntryOutput> => {
   const dissemination = createDissemination(options.dissemination ?? 'epidemic')
   const systems: Array<System<EntryTables, EntryInput, EntryOutput>> = [
+    new StallSystem(),
     new GossipReceiveSystem(dissemination),
     new AnnouncementSystem(),
     new WarmupSystem(),
--- a/src/membership/changeTopic.ts
+++ b/src/membership/changeTopic.ts
@@ -1,10 +1,11 @@
 /** Rumors that carry committed configuration changes, and vouches of the leader for the newest committed index. */
 
 import type { HostId } from '../core/id.js'
-import type { Tick } from '../core/tick.js'
+import type { Millis, Tick } from '../core/tick.js'
 import type { RumorTables, RumorTopic } from './rumorTopic.js'
 import { applyChange } from '../configuration/applyChange.js'
 import type { Change } from '../configuration/types.js'
+import type { GossipState } from './types.js'
 
 /** Updates `confirmedAt` if the local configuration includes the index that the leader last vouched for. */
 export const confirmConfiguration = (tables: RumorTables): void => {
@@ -39,6 +40,9 @@
   withAddedAge: rumor => rumor
 }
 
+// The earliest time at which a message that is read now may have arrived.
+const earliestArrival = ({ stall }: GossipState, now: Millis): Millis => now < stall.backlogUntil ? stall.since : now
+
 /** Topic of vouches; a vouch replaces an older one of the same term or any of an earlier term. */
 export const vouchTopic: RumorTopic<'vouch'> = {
   key: () => 'vouch',
@@ -51,7 +55,9 @@
     const isNewer = known === null || incoming.term > known.term || (incoming.term === known.term && incoming.sequence > known.sequence)
     if (!isNewer) return false
     gossip.vouch = incoming
-    gossip.vouchedAt = tick.now - incoming.ageMs
+    const issuedAt = earliestArrival(gossip, tick.now) - incoming.ageMs
+    // A newer vouch was issued after the known one.
+    gossip.vouchedAt = known === null ? issuedAt : Math.max(gossip.vouchedAt, issuedAt)
     gossip.vouchedBy = from
     if (incoming.index > configuration.index) gossip.fetchAt = Math.min(gossip.fetchAt, tick.now)
     confirmConfiguration(tick.tables)
--- a/src/membership/membershipTables.ts
+++ b/src/membership/membershipTables.ts
@@ -27,6 +27,7 @@
       reportedIndex: 0,
       reportsLeft: 0,
       isAuthority: self.role === 'control',
+      stall: { ranAt: now, since: now, backlogUntil: now },
       nextAskAt: now,
       askCount: 0,
       fetchAt: NEVER,
--- a/src/membership/types.ts
+++ b/src/membership/types.ts
@@ -96,6 +96,16 @@
 /** A host that a starting process contacts to join the fleet. */
 export interface Seed { readonly host: HostId, readonly link: Address }
 
+/** When this process last ran, and the last time that it did not. */
+export interface Stall {
+  /** Time of the last tick. */
+  ranAt: Millis
+  /** Time of the last tick before the process stalled. */
+  since: Millis
+  /** Until then messages may have arrived at any time since the process stalled. */
+  backlogUntil: Millis
+}
+
 /** Gossip state of the local host. */
 export interface GossipState {
   self: Member
@@ -116,6 +126,7 @@
   reportsLeft: number
   /** True on control hosts, which apply changes only from their own log. */
   readonly isAuthority: boolean
+  readonly stall: Stall
   /** Time before which no control host is asked for a vouch again, and the number of questions since the last one arrived. */
   nextAskAt: Millis
   askCount: number
