--- a/src/admission/fleetAllowance.spec.ts
+++ b/src/admission/fleetAllowance.spec.ts
@@ -135,3 +135,22 @@
   const numRuns = Number(process.env.RHUBARBSEAM_RUNS ?? 12)
   t.doesNotThrow(() => { fc.assert(property, { endOnFailure: process.env.RHUBARBSEAM_SHRINK === undefined, seed: Number(process.env.RHUBARBSEAM_SEED ?? 20261204), numRuns }) })
 })
+
+t.test('a borrower that was paused grants nothing on loans that have run out meanwhile', async t => {
+  for (const pauseMs of [1_000, 3_000, 10_000, 30_000]) {
+    const { fleet, entry } = build(4, defaultPolicies)
+    const start = fleet.now + 10
+    const end = start + 4_000 + pauseMs
+    const paused = fleet.nodes.get(toId<HostId>(hostAt(0)))
+    if (paused === undefined) throw new Error('no host')
+    // All callers use one host, which borrows. During its pause half of them wait there; the others go on with the lenders.
+    entry.sendAtRate('w', 'lookup', RATE, start, end, (now, n) => hostAt(now < start + 2_000 || n % 2 === 0 ? 0 : 1 + n % (locations.length - 1)))
+    fleet.runFor(2_010)
+    paused.isFrozen = true
+    fleet.runFor(pauseMs)
+    paused.isFrozen = false
+    fleet.runFor(8_000)
+    t.ok(entry.admissions.some(row => row.admittedAt > start + 2_000 + pauseMs), `pause of ${pauseMs} ms: it serves again`)
+    t.equal(maxGrantsOverLimit(entry.admissions, RATE, BURST), 0, `pause of ${pauseMs} ms: nothing granted over rate and burst`)
+  }
+})
