A log file that ends with zeros, as after a power loss, counts as torn, so the control host starts

A frame of length 0 has the checksum 0, so it counted as valid and its empty record could not be decoded; the control host then refused to start (folder-unusable). Zeros before a frame were not named as damage either. Not covered: a torn last frame whose head is zeros and whose later bytes were written; it counts as damage, and the host does not start.

--- a/src/replicated-log/diskFormat.ts
+++ b/src/replicated-log/diskFormat.ts
@@ -28,13 +28,28 @@
   return frame
 }
 
-/** Decodes all frames. Ignores an incomplete or torn last frame; fails with `log-corrupt` when an earlier frame is damaged. */
+const unpackRecord = (body: Buffer): DiskRecord | null => {
+  try {
+    return packr.unpack(body) as DiskRecord
+  } catch {
+    return null
+  }
+}
+
+// After a power loss, a file may end with zeros where its last frame was to be written.
+const isZeroed = (bytes: Buffer): boolean => bytes.every(byte => byte === 0)
+
+/** Decodes all frames. Ignores an incomplete, torn or zeroed last frame; fails with `log-corrupt` when an earlier frame is damaged. */
 export const decodeLog = (file: Buffer): Outcome<DecodedLog, DiskError> => {
   const records: DiskRecord[] = []
   let offset = 0
   while (offset + HEADER_BYTES <= file.length) {
     const length = file.readUInt32LE(offset)
     const end = offset + HEADER_BYTES + length
+    if (length === 0) {
+      if (isZeroed(file.subarray(offset))) break
+      return fail({ kind: 'log-corrupt', offset })
+    }
     if (end > file.length) break
     const body = file.subarray(offset + HEADER_BYTES, end)
     if (crc32(body) !== file.readUInt32LE(offset + 4)) {
@@ -42,7 +57,9 @@
       if (end < file.length) return fail({ kind: 'log-corrupt', offset })
       break
     }
-    records.push(packr.unpack(body) as DiskRecord)
+    const record = unpackRecord(body)
+    if (record === null) return fail({ kind: 'log-corrupt', offset })
+    records.push(record)
     offset = end
   }
   return ok({ records, validBytes: offset })
--- a/src/replicated-log/diskStore.spec.ts
+++ b/src/replicated-log/diskStore.spec.ts
@@ -86,6 +86,22 @@
   t.same(open(folder).image.entries, [])
 })
 
+t.test('zeros at the end of the file, as a power loss may leave them, are a torn frame', async t => {
+  for (const zeros of [1, 7, 8, 9, 4_096]) {
+    const folder = makeFolder(t)
+    const path = join(folder, 'log')
+    await write(folder, [{ kind: 'entries', entries: [entry(2)] }])
+    const whole = readFileSync(path)
+    writeFileSync(path, Buffer.concat([whole, Buffer.alloc(zeros)]))
+    t.equal(open(folder).image.entries.length, 2, `${zeros} zeros`)
+    await write(folder, [{ kind: 'entries', entries: [entry(3, 9)] }])
+    t.equal(open(folder).image.entries.at(-1)?.term, 9, `${zeros} zeros: new records are read back`)
+    writeFileSync(path, Buffer.concat([Buffer.alloc(zeros + 8), whole]))
+    const outcome = DiskStore.open(folder)
+    t.equal(outcome.tag === 'error' ? outcome.error.kind : 'opened', 'log-corrupt', `${zeros} zeros before a frame are damage`)
+  }
+})
+
 t.test('a replica is created only once in a folder', async t => {
   const folder = makeFolder(t)
   t.matchSnapshot(createReplica(folder, foundingImage(replica, { voters: [], learners: [] })))
