--- a/src/settings/loadSettings.ts
+++ b/src/settings/loadSettings.ts
@@ -43,12 +43,22 @@
   return fail({ kind: 'settings-invalid', problems: parsed.error.issues.map(issue => describeIssue(raw, issue)) })
 }
 
+const malformed = (error: unknown): SettingsError =>
+  ({ kind: 'yaml-malformed', reason: error instanceof Error ? error.message.split('\n', 1)[0] ?? '' : 'unreadable' })
+
 /** Parses and validates settings in YAML. */
 export const parseSettings = (text: string): Outcome<Settings, SettingsError> => {
   const document = parseDocument(text)
   const problem = document.errors[0]
-  if (problem !== undefined) return fail({ kind: 'yaml-malformed', reason: problem.message.split('\n', 1)[0] ?? '' })
-  return validateSettings(document.toJS())
+  if (problem !== undefined) return fail(malformed(problem))
+  let raw: unknown
+  try {
+    raw = document.toJS()
+  } catch (error) {
+    // For example an alias without its anchor.
+    return fail(malformed(error))
+  }
+  return validateSettings(raw)
 }
 
 const pathSettings = ['fleetKeyFile', 'announcementKeyFile', 'clientBlocksFile', 'operatorsFile', 'dataFolder', 'recordFile'] as const
--- a/src/settings/settings.spec.ts
+++ b/src/settings/settings.spec.ts
@@ -34,6 +34,7 @@
     missing: findProblems(validSettings.replace('fleetKeyFile: fleet.key\n', '')),
     wrongRole: findProblems('role: oracle\n'),
     notYaml: findProblems('role: [entry\n'),
+    aliasWithoutAnchor: findProblems(validSettings.replace('host: entry-1', 'host: *entry')),
     empty: findProblems('')
   })
 })
--- a/tap-snapshots/src/settings/settings.spec.ts.test.cjs
+++ b/tap-snapshots/src/settings/settings.spec.ts.test.cjs
@@ -7,6 +7,9 @@
 'use strict'
 exports[`src/settings/settings.spec.ts > TAP > every problem names its path, the value found and the allowed values > must match snapshot 1`] = `
 Object {
+  "aliasWithoutAnchor": Array [
+    "not YAML: Unresolved alias (the anchor must be set before the alias): entry",
+  ],
   "empty": Array [
     "(top): found null; Invalid input: expected object, received null",
   ],
