--- a/src/stand-ins/mutatedBytes.ts
+++ b/src/stand-ins/mutatedBytes.ts
@@ -4,6 +4,7 @@
 import type { Test } from 'tap'
 
 const DEFAULT_RUNS = 1_000
+const DEFAULT_SEED = 20261204
 
 type Mutation =
   | { readonly kind: 'set', readonly at: number, readonly value: number }
@@ -38,10 +39,10 @@
 /** A decoder of bytes from outside, with valid input. */
 export interface FuzzedDecoder { readonly samples: readonly Buffer[], readonly decode: (bytes: Buffer) => unknown }
 
-/** Checks that a decoder returns whatever the bytes. Short and always the same, unless `FUZZ_RUNS` and `FUZZ_SEED` ask for more. */
+/** Checks that a decoder returns whatever the bytes. Short and always the same, unless `RHUBARBSEAM_RUNS` and `RHUBARBSEAM_SEED` ask for more. */
 export const checkDecoder = (t: Test, { samples, decode }: FuzzedDecoder): void => {
   for (const sample of samples) t.doesNotThrow(() => decode(sample))
-  const parameters = { numRuns: Number(process.env['FUZZ_RUNS'] ?? DEFAULT_RUNS), seed: Number(process.env['FUZZ_SEED'] ?? 1) }
+  const parameters = { numRuns: Number(process.env.RHUBARBSEAM_RUNS ?? DEFAULT_RUNS), seed: Number(process.env.RHUBARBSEAM_SEED ?? DEFAULT_SEED) }
   const result = fc.check(fc.property(mutatedBytes(samples), bytes => { decode(bytes) }), parameters)
   t.notOk(result.failed, fc.defaultReportMessage(result) ?? 'holds')
 }
