--- a/src/configuration/departuresAfterRestart.spec.ts
+++ b/src/configuration/departuresAfterRestart.spec.ts
@@ -32,6 +32,8 @@
   readonly entry: VirtualEntry
   /** What an entry host would have used although it had left or was withdrawn. */
   readonly used = new Set<string>()
+  /** The control host that a restart is about. */
+  chosen = toId<HostId>('none')
   #commandCount = 0
 
   constructor (seed: number) {
@@ -144,7 +146,6 @@
   if (node !== undefined) node.isFrozen = isFrozen
 }
 
-let chosen = toId<HostId>('none')
 const restarts: Readonly<Record<string, Restart>> = {
   'each entry host in turn': {
     after: departures => {
@@ -166,51 +167,51 @@
   },
   'a control host with an old disk starts beside all entry hosts': {
     before: departures => {
-      chosen = followerOf(departures)
-      departures.reporting.control.kill(chosen)
+      departures.chosen = followerOf(departures)
+      departures.reporting.control.kill(departures.chosen)
     },
     after: departures => {
-      departures.reporting.control.start(chosen)
+      departures.reporting.control.start(departures.chosen)
       departures.restartAllEntries()
     }
   },
   'a control host with an old disk starts beside all processes': {
     before: departures => {
-      chosen = followerOf(departures)
-      departures.reporting.control.kill(chosen)
+      departures.chosen = followerOf(departures)
+      departures.reporting.control.kill(departures.chosen)
     },
     after: departures => {
       departures.restartAllControls()
-      departures.reporting.control.start(chosen)
+      departures.reporting.control.start(departures.chosen)
       departures.restartAllEntries()
     }
   },
   'a control host thaws beside entry hosts that start': {
     before: departures => {
-      chosen = followerOf(departures)
-      setFrozen(departures, chosen, true)
+      departures.chosen = followerOf(departures)
+      setFrozen(departures, departures.chosen, true)
     },
     after: departures => {
-      setFrozen(departures, chosen, false)
+      setFrozen(departures, departures.chosen, false)
       departures.restartAllEntries()
     }
   },
   'the leader thaws beside entry hosts that start': {
     before: departures => {
-      chosen = departures.reporting.control.leaders()[0] ?? chosen
-      setFrozen(departures, chosen, true)
+      departures.chosen = departures.reporting.control.leaders()[0] ?? departures.chosen
+      setFrozen(departures, departures.chosen, true)
       departures.reporting.fleet.runFor(3_000)
     },
     after: departures => {
-      setFrozen(departures, chosen, false)
+      setFrozen(departures, departures.chosen, false)
       departures.restartAllEntries()
     }
   },
   'a control host loses its disk, and all processes restart': {
     after: departures => {
-      chosen = followerOf(departures)
-      departures.reporting.control.kill(chosen)
-      departures.reporting.control.wipeDisk(chosen)
+      departures.chosen = followerOf(departures)
+      departures.reporting.control.kill(departures.chosen)
+      departures.reporting.control.wipeDisk(departures.chosen)
       departures.restartAllControls()
       departures.restartAllEntries()
     }
