--- a/scripts/mutants.mjs
+++ b/scripts/mutants.mjs
@@ -39,7 +39,7 @@
   { name: 'forward-the-key', spec: 'src/front-end/callerServer.spec.ts', file: 'src/front-end/callerHeaders.ts', find: 'KEY_HEADERS.has(name) || dropped', replace: 'dropped' },
   { name: 'wait-for-anti-entropy', spec: 'src/gossip/changesAfterRestart.spec.ts', file: 'src/gossip/confirmationSystem.ts', find: 'if (target !== undefined) introduce(tick, target)', replace: '' },
   { name: 'retired-servers-return', spec: 'src/configuration/departuresAfterRestart.spec.ts', file: 'src/backend-choice/candidates.ts', find: 'retirements.has(retirementKey(announcement))', replace: 'retirements.size < 0' },
-  { name: 'backlog-counts-as-new', spec: 'src/key-check/confirmationAfterPause.spec.ts', file: 'src/membership/changeTopic.ts', find: 'now < stall.backlogUntil ? stall.since : now', replace: 'stall.backlogUntil === NaN ? stall.since : now' },
+  { name: 'backlog-counts-as-new', spec: 'src/key-check/confirmationAfterPause.spec.ts', file: 'src/membership/changeTopic.ts', find: 'now < stall.backlogUntil ? stall.since : now', replace: 'now < 0 ? stall.since : now' },
   { name: 'no-introduction', spec: 'src/announcement/reportsAfterRestart.spec.ts', file: 'src/replicated-log/introductionSystem.ts', find: 'for (const replica of unknownReplicas(tick.tables)) introduce(tick, replica)', replace: '' },
   { name: 'leaving-is-forgotten', spec: 'src/server-notice/serverNotices.spec.ts', file: 'src/announcement/announcementTopic.ts', find: "if (leavingEpoch === current.epoch && next.state === 'up') return false", replace: '' },
   { name: 'send-in-a-pause', spec: 'src/server-notice/serverNotices.spec.ts', file: 'src/backend-choice/candidates.ts', find: "if (row.pausedUntil > now) return 'paused'", replace: '' },
--- a/src/announcement/announcementTopic.ts
+++ b/src/announcement/announcementTopic.ts
@@ -89,8 +89,9 @@
   }
   if (!supersedes(announcement, row)) return false
   const current = row.announcement
+  const isSameEpoch = announcement.epoch === current.epoch
   if (announcement.state === 'draining') row.leavingEpoch = announcement.epoch
-  if (announcement.epoch !== current.epoch) {
+  if (!isSameEpoch) {
     row.firstSeenAt = now
     row.processKey = processKeyOf(announcement)
     row.ejectedUntil = 0
@@ -104,7 +105,6 @@
     row.unansweredSince = null
   }
   if (announcement.coldMs > 0) row.coldUntil = now + announcement.coldMs
-  const isSameEpoch = announcement.epoch === current.epoch
   row.announcement = isSameEpoch && announcement.sequence < current.sequence ? { ...announcement, sequence: current.sequence } : announcement
   const isRelevant = isRelevantChange(announcement, current)
   if (isRelevant) tables.backends.put(row)
--- a/src/backend-choice/candidates.ts
+++ b/src/backend-choice/candidates.ts
@@ -67,8 +67,7 @@
 const isFull = (row: BackendRow, now: Millis, urgentFraction: number): boolean => {
   // A server that reports its load may queue some requests. Any other server gets no more than its usable slots.
   const limit = row.loadReportedAt === 0 ? usableSlots(row, now) : row.announcement.slots * fillLimit(urgentFraction)
-  const outstanding = row.loadReportedAt === 0 ? row.inFlight : estimateOutstanding(row, now)
-  return outstanding >= Math.max(1, limit * resumeFraction(row, now))
+  return estimateOutstanding(row, now) >= Math.max(1, limit * resumeFraction(row, now))
 }
 
 /** Returns why a server is out of service, regardless of its load; null if it is in service. */
--- a/src/configuration/departuresAfterRestart.spec.ts
+++ b/src/configuration/departuresAfterRestart.spec.ts
@@ -141,6 +141,11 @@
 
 const followerOf = ({ reporting: { control } }: Departures): HostId => control.hosts.find(host => !control.leaders().includes(host)) ?? toId<HostId>('none')
 
+const killFollower = (departures: Departures): void => {
+  departures.chosen = followerOf(departures)
+  departures.reporting.control.kill(departures.chosen)
+}
+
 const setFrozen = (departures: Departures, host: HostId, isFrozen: boolean): void => {
   const node = departures.reporting.fleet.nodes.get(host)
   if (node !== undefined) node.isFrozen = isFrozen
@@ -166,20 +171,14 @@
     }
   },
   'a control host with an old disk starts beside all entry hosts': {
-    before: departures => {
-      departures.chosen = followerOf(departures)
-      departures.reporting.control.kill(departures.chosen)
-    },
+    before: killFollower,
     after: departures => {
       departures.reporting.control.start(departures.chosen)
       departures.restartAllEntries()
     }
   },
   'a control host with an old disk starts beside all processes': {
-    before: departures => {
-      departures.chosen = followerOf(departures)
-      departures.reporting.control.kill(departures.chosen)
-    },
+    before: killFollower,
     after: departures => {
       departures.restartAllControls()
       departures.reporting.control.start(departures.chosen)
@@ -209,8 +208,7 @@
   },
   'a control host loses its disk, and all processes restart': {
     after: departures => {
-      departures.chosen = followerOf(departures)
-      departures.reporting.control.kill(departures.chosen)
+      killFollower(departures)
       departures.reporting.control.wipeDisk(departures.chosen)
       departures.restartAllControls()
       departures.restartAllEntries()
--- a/src/front-end/callerHeaders.ts
+++ b/src/front-end/callerHeaders.ts
@@ -1,7 +1,7 @@
 /** Rules for forwarding headers between callers and backend servers. */
 
-import type { ReportedLoad } from '../announcement/types.js'
 import type { IncomingHttpHeaders } from 'node:http'
+import type { ReportedLoad } from '../announcement/types.js'
 
 const HOP_BY_HOP: ReadonlySet<string> = new Set([
   'connection', 'keep-alive', 'proxy-authenticate', 'proxy-authorization', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'expect'
--- a/src/front-end/callerProtocol.ts
+++ b/src/front-end/callerProtocol.ts
@@ -1,8 +1,8 @@
 /** Interface of an HTTP protocol towards callers and backend servers; `CallerServer` implements what all have in common. */
 
-import type { ServerNotice } from '../server-notice/types.js'
 import type { IncomingHttpHeaders, IncomingMessage, ServerResponse } from 'node:http'
 import type { ReportedLoad } from '../announcement/types.js'
+import type { ServerNotice } from '../server-notice/types.js'
 import type { AttemptStarted, RequestRefused, RequestTarget } from '../exchange/types.js'
 import type { LookupAnswered, LookupReceived } from '../lookup/types.js'
 
--- a/src/gossip/stallSystem.spec.ts
+++ b/src/gossip/stallSystem.spec.ts
@@ -12,7 +12,7 @@
   const stall: Stall = { ranAt: 0, since: 0, backlogUntil: 0 }
   const arrivals: Millis[] = []
   for (const now of times) {
-    system.run({ now, tables: { gossip: { stall } } as never })
+    system.run({ now, tables: { gossip: { stall } } } as never)
     arrivals.push(now < stall.backlogUntil ? stall.since : now)
   }
   return arrivals
--- a/src/gossip/stallSystem.ts
+++ b/src/gossip/stallSystem.ts
@@ -1,8 +1,8 @@
 /** Notices that this process did not run for a time, so that messages that waited meanwhile do not count as new. */
 
-import type { Millis, System } from '../core/tick.js'
+import type { Millis, System, Tick } from '../core/tick.js'
 import type { MembershipTables } from '../membership/types.js'
-import type { GossipInput, GossipOutput, GossipTick } from './gossipSteps.js'
+import type { GossipInput, GossipOutput } from './gossipSteps.js'
 
 /** Longest time between two ticks of a process that runs. */
 const TICK_INTERVAL_MS: Millis = 500
@@ -15,7 +15,7 @@
 export class StallSystem implements System<MembershipTables, GossipInput, GossipOutput> {
   readonly name = 'stall'
 
-  run (tick: Pick<GossipTick, 'now'> & { readonly tables: MembershipTables }): void {
+  run (tick: Tick<MembershipTables, GossipInput, GossipOutput>): void {
     const { stall } = tick.tables.gossip
     if (tick.now - stall.ranAt >= MIN_STALL_MS) {
       // A second stall before the backlog of the first has been read extends it.
--- a/src/stand-ins/changeSeries.ts
+++ b/src/stand-ins/changeSeries.ts
@@ -98,10 +98,7 @@
 
   /** Kills control hosts and starts each again after `downMs` and a random delay of up to `spreadMs`. */
   restart (hosts: readonly HostId[], downMs: Millis, spreadMs: Millis): void {
-    for (const host of hosts) {
-      this.control.kill(host)
-      this.fleet.schedule(downMs + this.fleet.random.below(spreadMs), () => { this.control.start(host) })
-    }
+    for (const host of hosts) this.control.restart(host, downMs, spreadMs)
   }
 
   /** Makes a change every `intervalMs` for a time; a change is sent again until a control host acknowledges it. */
--- a/src/stand-ins/fleet.spec.ts
+++ b/src/stand-ins/fleet.spec.ts
@@ -11,21 +11,9 @@
 import type { CallerOutcome } from './caller.js'
 import { Fleet } from './fleet.js'
 import type { BackendStatistics } from './backendServer.js'
-
-// These tests use real processes and sockets. They wait for conditions; the timeout only ends a run that hangs.
-const WAIT_TIMEOUT_MS = 40_000
+import { WAIT_TIMEOUT_MS, sleep, waitUntil } from './waiting.js'
 
 const terms = { shiftCap: 0.5, shiftWindowMs: 60_000, allowedRegions: [], drainMs: 10_000, whenCutOff: 'serve', staleAfterMs: 10_000 }
-const sleep = async (ms: number): Promise<void> => { await new Promise(resolve => setTimeout(resolve, ms)) }
-
-const waitUntil = async (condition: string, isTrue: () => Promise<boolean> | boolean): Promise<void> => {
-  const deadline = Date.now() + WAIT_TIMEOUT_MS
-  while (!await isTrue()) {
-    if (Date.now() > deadline) throw new Error(`timed out waiting until ${condition}`)
-    await sleep(50)
-  }
-}
-
 const runBinary = async (args: readonly string[]): Promise<{ code: number | null, error: string }> => await new Promise(resolve => {
   execFile(process.execPath, ['dist/rhubarbseam.cjs', ...args], (error, _stdout, stderr) => {
     resolve({ code: error === null ? 0 : Number(error.code), error: stderr.split('\n', 1)[0] ?? '' })
--- a/src/stand-ins/pipelinedStop.spec.ts
+++ b/src/stand-ins/pipelinedStop.spec.ts
@@ -4,17 +4,14 @@
 import { request } from 'undici'
 import type { BackendStatistics } from './backendServer.js'
 import { Fleet } from './fleet.js'
+import { WAIT_TIMEOUT_MS, waitUntil } from './waiting.js'
 
-// Real processes and sockets. The timeout only ends a run that hangs.
-const WAIT_TIMEOUT_MS = 40_000
 const CONNECTIONS = 6
 const SEND_INTERVAL_MS = 4
 const STOPS = 3
 const MIN_SERVED = 60
 const terms = { shiftCap: 0.5, shiftWindowMs: 60_000, allowedRegions: [], drainMs: 10_000, whenCutOff: 'serve', staleAfterMs: 10_000 }
 
-const sleep = async (ms: number): Promise<void> => { await new Promise(resolve => setTimeout(resolve, ms)) }
-
 /** A caller that sends requests on one connection without waiting for the answers. */
 class PipeliningCaller {
   readonly #socket: Socket
@@ -59,13 +56,6 @@
     const statistics = await Promise.all(fleet.backendServers.map(async ({ addresses }) => await (await request(`http://${addresses.backend ?? ''}/stand-in/statistics`)).body.json() as BackendStatistics))
     return [...new Set(statistics.flatMap(row => Object.keys(row.runsByKey)))].filter(path => path.startsWith(prefix)).sort()
   }
-  const waitUntil = async (what: string, isTrue: () => Promise<boolean> | boolean): Promise<void> => {
-    const deadline = Date.now() + WAIT_TIMEOUT_MS
-    while (!await isTrue()) {
-      if (Date.now() > deadline) throw new Error(`timed out waiting until ${what}`)
-      await sleep(50)
-    }
-  }
   for (let stop = 0; stop < STOPS; stop += 1) {
     const host = fleet.entryHosts[0]
     const address = host?.addresses.callers ?? ''
--- a/src/stand-ins/reportingFleet.ts
+++ b/src/stand-ins/reportingFleet.ts
@@ -41,10 +41,7 @@
   }
 
   /** Kills a control host and starts it again about a second later. */
-  restartControl (host: HostId): void {
-    this.control.kill(host)
-    this.fleet.schedule(MIN_DOWN_MS + this.fleet.random.below(MAX_EXTRA_DOWN_MS), () => { this.control.start(host) })
-  }
+  restartControl (host: HostId): void { this.control.restart(host, MIN_DOWN_MS, MAX_EXTRA_DOWN_MS) }
 
   /** Any control host. */
   anyControl (): HostId {
--- a/src/stand-ins/virtualControl.ts
+++ b/src/stand-ins/virtualControl.ts
@@ -109,6 +109,12 @@
     this.#disk(host).generation += 1
   }
 
+  /** Kills a host and starts it again after `downMs` and a random delay of up to `spreadMs`. */
+  restart (host: HostId, downMs: Millis, spreadMs: Millis): void {
+    this.kill(host)
+    this.fleet.schedule(downMs + this.fleet.random.below(spreadMs), () => { this.start(host) })
+  }
+
   /** Erases the disk of a killed host. The host then starts as a new replica that is not admitted to the group. */
   wipeDisk (host: HostId): void {
     const disk = this.#disk(host)
