--- a/src/front-end/linkHub.ts
+++ b/src/front-end/linkHub.ts
@@ -19,6 +19,9 @@
 /** Messages queued while a link is opened. Further ones are dropped; gossip makes up for them. */
 const MAX_QUEUED_MESSAGES = 256
 
+/** Messages to a host are dropped while this many bytes wait for it. */
+const MAX_BUFFERED_BYTES = 8 * 1024 * 1024
+
 /** A replaced connection is closed after this time, so that messages in transit still arrive. */
 const REPLACED_LINK_CLOSE_DELAY_MS = 5_000
 
@@ -111,6 +114,7 @@
   }
 
   #write (link: Link, message: LinkMessage): void {
+    if (link.socket.bufferedAmount > MAX_BUFFERED_BYTES) return
     const bytes = encodeMessage(message)
     this.options.events.onTraffic('out', bytes.length, message.kind, link.host)
     link.socket.send(bytes)
--- a/src/front-end/operatorServer.ts
+++ b/src/front-end/operatorServer.ts
@@ -44,6 +44,7 @@
     case 'not-found':
     case 'no-join-request': return 404
     case 'not-leader': return 421
+    case 'log-full': return 503
     case 'outcome-unknown': return 504
     default: return 409
   }
--- a/src/gossip/gossipReceiveSystem.ts
+++ b/src/gossip/gossipReceiveSystem.ts
@@ -5,7 +5,6 @@
 import type { Millis, System } from '../core/tick.js'
 import { confirmConfiguration, applyNextChange } from '../membership/changeTopic.js'
 import { snapshotWithoutDocument } from '../plan/planDocument.js'
-import { estimateChangesBytes } from '../plan/planSize.js'
 import { installSnapshot, takeSnapshot } from '../configuration/configurationTables.js'
 import { MAX_RUMORS_PER_MESSAGE, currentVouch, mergeRumors, sendReply, sendToMember, sendSync, takePendingRumors } from './gossipSteps.js'
 import type { GossipInput, GossipOutput, GossipTick } from './gossipSteps.js'
@@ -17,9 +16,6 @@
 import { differingRumors, readSyncState } from './syncDigest.js'
 import type { GossipMessage, Rumor } from '../membership/types.js'
 
-/** Larger series of changes are sent as a snapshot. */
-const MAX_CHANGES_BYTES = 256 * 1024
-
 const gossipKinds: ReadonlySet<string> = new Set<GossipMessage['kind']>(['probe', 'probe-reply', 'rumors', 'sync', 'in-force', 'reports', 'fetch', 'changes', 'snapshot'])
 
 const sendRumors = (tick: GossipTick, to: HostId, rumors: readonly Rumor[]): void => {
@@ -47,8 +43,7 @@
   const { configuration, recentChanges } = tick.tables
   if (after >= configuration.index) return
   const changes = recentChanges.after(after)
-  // A snapshot has only the newest of all the plans.
-  const message: GossipMessage = changes === null || estimateChangesBytes(changes) > MAX_CHANGES_BYTES
+  const message: GossipMessage = changes === null
     ? { kind: 'snapshot', snapshot: snapshotWithoutDocument(takeSnapshot(configuration)) }
     : { kind: 'changes', changes }
   sendReply(tick, to, message)
--- a/src/gossip/spreadSystem.ts
+++ b/src/gossip/spreadSystem.ts
@@ -5,6 +5,7 @@
 import type { Millis, System } from '../core/tick.js'
 import { MAX_RUMORS_PER_MESSAGE, rumorWithCurrentAge, sendTo } from './gossipSteps.js'
 import type { GossipInput, GossipOutput, GossipTick } from './gossipSteps.js'
+import { estimateCommandBytes } from '../plan/planSize.js'
 import { PROBE_INTERVAL_MS } from './probeSystem.js'
 import type { RumorTables } from '../membership/rumorTopic.js'
 import type { Dissemination } from './dissemination.js'
@@ -13,6 +14,9 @@
 /** Number of times that each index is sent to the control hosts, as reports may be lost; repeats are sent with the next probes. */
 const SENDS_PER_INDEX_REPORT = 4
 
+/** Larger changes are sent once: a probe carries several rumors, and each waits here until its last send. */
+const MAX_REPEATED_CHANGE_BYTES = 64 * 1024
+
 /** Rumors to send to one member. */
 interface Parcel { readonly to: Member, readonly rumors: Rumor[] }
 
@@ -71,13 +75,19 @@
     }
     const { rumors } = tick.tables
     for (const row of rows) {
-      if (rumors.get(row.key) === row && !this.dissemination.isRetransmitted(row.rumor)) rumors.remove(row.key)
+      if (rumors.get(row.key) === row && !this.#isRetransmitted(row.rumor)) rumors.remove(row.key)
     }
     for (const row of [...rumors.rows()]) {
       if (row.remainingSends <= 0) rumors.remove(row.key)
     }
   }
 
+  // A host that misses a large change fetches it once the next vouch has told of it.
+  #isRetransmitted (rumor: Rumor): boolean {
+    if (rumor.topic === 'change' && estimateCommandBytes(rumor.change.envelope) > MAX_REPEATED_CHANGE_BYTES) return false
+    return this.dissemination.isRetransmitted(rumor)
+  }
+
   #pack (tick: GossipTick, rows: readonly RumorRow[]): Iterable<Parcel> {
     const parcels = new Map<HostId, Parcel>()
     const targetsOf = this.dissemination.router(tick)
--- a/src/plan/planSize.ts
+++ b/src/plan/planSize.ts
@@ -1,6 +1,6 @@
-/** Estimates the encoded size of changes and plans, so that a message stays below what a link accepts without encoding it first. */
+/** Estimates the size of commands and plans, by which messages, logs and caches are bounded without encoding their content. */
 
-import type { Change, CommandEnvelope } from '../configuration/types.js'
+import type { CommandEnvelope } from '../configuration/types.js'
 import type { Plan } from './types.js'
 
 /** Encoded size of a row of a plan with names of usual length. */
@@ -15,10 +15,3 @@
 /** Estimated size of a command in bytes. */
 export const estimateCommandBytes = (envelope: CommandEnvelope | null): number =>
   envelope?.command.kind === 'put-plan' ? estimatePlanBytes(envelope.command.plan) : SMALL_CHANGE_BYTES
-
-/** Estimated size of changes in bytes. */
-export const estimateChangesBytes = (changes: readonly Change[]): number => {
-  let bytes = 0
-  for (const { envelope } of changes) bytes += estimateCommandBytes(envelope)
-  return bytes
-}
--- a/src/replicated-log/commitSystem.ts
+++ b/src/replicated-log/commitSystem.ts
@@ -14,6 +14,7 @@
 import type { GossipMessage, MessageSent } from '../membership/types.js'
 import { spreadRumor } from '../membership/spreadRumor.js'
 import type { RumorTables } from '../membership/rumorTopic.js'
+import { countWithin, estimateEntryBytes } from './entrySize.js'
 import { appendAsLeader, isVoter, otherReplicas, persist, quorumSize } from './replicaSteps.js'
 import type { LogInput, LogOutput, LogTick } from './replicaSteps.js'
 import { latestGroup } from './replicaTables.js'
@@ -21,8 +22,13 @@
 
 /** Number of applied entries after which a snapshot is taken. */
 export const SNAPSHOT_INTERVAL_ENTRIES = 1_000
+/** Estimated size of applied entries after which a snapshot is taken, however few they are: a plan may have a megabyte. */
+export const SNAPSHOT_INTERVAL_BYTES = 8 * 1024 * 1024
 /** Entries retained before a snapshot, so that replicas that lag slightly need no snapshot. */
 const RETAINED_ENTRIES = 256
+const RETAINED_BYTES = 2 * 1024 * 1024
+/** Estimated size of uncommitted entries from which the leader refuses commands: their senders repeat them while a quorum is slow. */
+export const MAX_UNCOMMITTED_BYTES = 16 * 1024 * 1024
 export const VOUCH_INTERVAL_MS: Millis = 1_000
 const VOUCH_RETRY_INTERVAL_MS: Millis = 100
 
@@ -46,11 +52,27 @@
   return latestGroup(tables.replica, entries)
 }
 
+const uncommittedBytes = ({ log, replica }: LogTables): number => {
+  let bytes = 0
+  for (let index = replica.commit + 1; index <= log.lastIndex; index += 1) {
+    const entry = log.get(index)
+    if (entry !== undefined) bytes += estimateEntryBytes(entry)
+  }
+  return bytes
+}
+
+// Counts the last entries up to an index that remain in the log after a snapshot.
+const countRetained = ({ log }: LogTables, index: number): number => {
+  const newestFirst = log.rows().filter(entry => entry.index <= index).slice(-RETAINED_ENTRIES).reverse()
+  return countWithin(newestFirst, RETAINED_BYTES)
+}
+
 /** Proposes, commits and applies entries, confirms the commit index to the fleet and compacts the log. */
 export class CommitSystem implements System<CommitTables, LogInput, LogOutput | MessageSent<GossipMessage>> {
   readonly name = 'commit'
   #seenWithdrawalRevision = -1
   #proposedWithdrawals = new Set<string>()
+  #appliedBytesSinceSnapshot = 0
 
   run (tick: CommitTick): void {
     for (const row of tick.inbox) {
@@ -81,6 +103,10 @@
       tick.emit({ kind: 'proposal-answer', call: row.call, receipt: null, error: { kind: 'not-leader', leader: replica.leader } })
       return
     }
+    if (uncommittedBytes(tick.tables) > MAX_UNCOMMITTED_BYTES) {
+      tick.emit({ kind: 'proposal-answer', call: row.call, receipt: null, error: { kind: 'log-full' } })
+      return
+    }
     const entry = appendAsLeader(toLogTick(tick), { kind: 'command', envelope: row.envelope })
     proposals.put({ index: entry.index, term: entry.term, call: row.call, proposedAt: tick.now })
   }
@@ -131,6 +157,7 @@
     const envelope = entry.payload.kind === 'command' ? entry.payload.envelope : null
     const change: Change = { index: entry.index, envelope }
     const outcome = applyChange(configuration, change)
+    this.#appliedBytesSinceSnapshot += estimateEntryBytes(entry)
     if (envelope !== null) spreadWithdrawal(tick, envelope)
     const changeToSpread = changeWithoutDocument(change)
     recentChanges.add(changeToSpread)
@@ -181,12 +208,15 @@
 
   #compact (tick: CommitTick): void {
     const { replica, log, configuration } = tick.tables
-    const snapshotIndex = replica.snapshot?.index ?? 0
-    if (configuration.index - snapshotIndex < SNAPSHOT_INTERVAL_ENTRIES) return
-    const term = log.termAt(configuration.index)
-    if (term === undefined) return
-    replica.snapshot = { index: configuration.index, term, group: groupAt(tick.tables, configuration.index), configuration: takeSnapshot(configuration) }
-    if (configuration.index - RETAINED_ENTRIES > log.baseIndex) log.compact(configuration.index - RETAINED_ENTRIES)
-    persist(toLogTick(tick), { kind: 'snapshot', snapshot: replica.snapshot, kept: log.rows() })
+    const { index } = configuration
+    const appliedEntries = index - (replica.snapshot?.index ?? 0)
+    if (appliedEntries < SNAPSHOT_INTERVAL_ENTRIES && this.#appliedBytesSinceSnapshot < SNAPSHOT_INTERVAL_BYTES) return
+    this.#appliedBytesSinceSnapshot = 0
+    const term = log.termAt(index)
+    if (term === undefined || appliedEntries === 0) return
+    replica.snapshot = { index, term, group: groupAt(tick.tables, index), configuration: takeSnapshot(configuration) }
+    const firstRetained = index - countRetained(tick.tables, index)
+    if (firstRetained > log.baseIndex) log.compact(firstRetained)
+    persist(toLogTick(tick), { kind: 'snapshot', snapshot: replica.snapshot, kept: log.rows().filter(entry => entry.index > index) })
   }
 }
--- a/src/replicated-log/replicationSystem.ts
+++ b/src/replicated-log/replicationSystem.ts
@@ -4,8 +4,8 @@
 import type { HostId } from '../core/id.js'
 import type { Millis, System } from '../core/tick.js'
 import { NEVER } from '../core/tick.js'
-import { estimateCommandBytes } from '../plan/planSize.js'
 import { installSnapshot } from '../configuration/configurationTables.js'
+import { countWithin } from './entrySize.js'
 import { MAX_ENTRIES_PER_APPEND, becomeFollower, drawElectionAt, isVoter, otherReplicas, persist, quorumSize, refreshGroup, findReplicaOnHost, sendLogMessage } from './replicaSteps.js'
 import { ELECTION_TIMEOUT_MS, HEARTBEAT_INTERVAL_MS } from './timing.js'
 import type { LogInput, LogOutput, LogTick, ReplicaTables } from './replicaSteps.js'
@@ -34,14 +34,7 @@
 }
 
 // The entries that fit into one message, at least one.
-const firstEntries = (entries: readonly Entry[]): readonly Entry[] => {
-  let bytes = 0
-  for (const [position, { payload }] of entries.entries()) {
-    bytes += estimateCommandBytes(payload.kind === 'command' ? payload.envelope : null)
-    if (bytes > MAX_APPEND_BYTES && position > 0) return entries.slice(0, position)
-  }
-  return entries
-}
+const firstEntries = (entries: readonly Entry[]): readonly Entry[] => entries.slice(0, Math.max(1, countWithin(entries, MAX_APPEND_BYTES)))
 
 const startRound = (tick: LogTick): void => {
   const replica = tick.tables.replica
--- a/src/replicated-log/types.ts
+++ b/src/replicated-log/types.ts
@@ -92,6 +92,7 @@
 export type ProposalError =
   | { readonly kind: 'not-leader', readonly leader: HostId | null }
   | { readonly kind: 'outcome-unknown' }
+  | { readonly kind: 'log-full' }
   | { readonly kind: 'group-change-running' }
   | { readonly kind: 'no-join-request' }
   | CommandError
