A host that joins takes the place of a voter that is silent, before it votes itself

Cause: a replaced voter stayed in the group until it had been dead for 8 s, some 12 s after its loss, while its successor at another address voted already. The group counted 8 voters and needed 5; 4 were left.

Why it works: a learner that has just joined replaces a voter that has acknowledged nothing for 1 s, its own zone first: the voter leaves, then the learner votes. Learners of a group of five or more wait for that second, so a voter that stopped just before shows. Without a new host nobody is replaced.

--- a/src/replicated-log/electionSystem.ts
+++ b/src/replicated-log/electionSystem.ts
@@ -67,7 +67,7 @@
   replica.roundSendTimes.clear()
   followers.clear()
   for (const other of otherReplicas(tick.tables)) {
-    followers.put({ replica: other.replica, nextIndex: log.lastIndex + 1, matchIndex: 0, ackedRoundSentAt: tick.now, sentCommit: 0, inFlightUntil: 0 })
+    followers.put({ replica: other.replica, nextIndex: log.lastIndex + 1, matchIndex: 0, addedAt: tick.now, ackedRoundSentAt: tick.now, sentCommit: 0, inFlightUntil: 0 })
   }
   appendAsLeader(tick, { kind: 'start-of-term' })
 }
--- a/src/replicated-log/groupSystem.ts
+++ b/src/replicated-log/groupSystem.ts
@@ -10,7 +10,7 @@
 import type { ReplicaAdmission } from './replicaAdmission.js'
 import { appendAsLeader, sendLogMessage } from './replicaSteps.js'
 import type { LogInput, LogOutput, ReplicaTables } from './replicaSteps.js'
-import type { Group, Replica, ReplicaAdmitted } from './types.js'
+import type { Group, PendingAdmission, Replica, ReplicaAdmitted } from './types.js'
 
 /** Interval at which the leader evaluates the admission policy. */
 const DECISION_INTERVAL_MS: Millis = 250
@@ -19,6 +19,8 @@
 /** Automatic admissions are abandoned after this time, so that a replica that never catches up does not block others. */
 const ADMISSION_TIMEOUT_MS: Millis = 10_000
 const JOIN_REQUEST_INTERVAL_MS: Millis = 1_000
+/** Interval at which a starting replica looks for control hosts to ask. */
+const LONELY_RETRY_MS: Millis = 100
 
 type GroupTables = ReplicaTables & MembershipTables
 type GroupTick = Tick<GroupTables, LogInput, LogOutput>
@@ -26,14 +28,14 @@
 const containsReplica = (list: readonly Replica[], replica: Replica): boolean => list.some(row => row.replica === replica.replica)
 
 /** Returns the next group on the way to admitting a replica: the given group until it has caught up, null when it is a voter. */
-export const nextGroup = (group: Group, replica: Replica, isCaughtUp: boolean): Group | null => {
+export const nextGroup = (group: Group, { replica, replaces }: Pick<PendingAdmission, 'replica' | 'replaces'>, isCaughtUp: boolean): Group | null => {
   if (containsReplica(group.voters, replica)) return null
   if (!containsReplica(group.learners, replica)) {
     return withLearners(group, [replica])
   }
   if (!isCaughtUp) return group
-  const lost = group.voters.find(row => row.host === replica.host)
-  if (lost !== undefined) return { voters: group.voters.filter(row => row !== lost), learners: group.learners }
+  const lost = group.voters.find(row => row.replica === replaces?.replica)
+  if (lost !== undefined) return withoutVoter(group, lost)
   const learners = group.learners.filter(row => row.replica !== replica.replica)
   return { voters: [...group.voters, replica], learners }
 }
@@ -52,7 +54,7 @@
     }
     if (tick.tables.replica.role === 'leader' && tick.now >= this.#nextDecisionAt) this.#decide(tick)
     const { role, admission } = tick.tables.replica
-    if (role === 'leader' && admission !== null) this.#advanceAdmission(tick, admission.replica)
+    if (role === 'leader' && admission !== null) this.#advanceAdmission(tick, admission)
     if (tick.now >= this.#nextJoinAt && this.#mayBeOutsideGroup(tick.tables, tick.now)) this.#requestJoin(tick)
   }
 
@@ -73,9 +75,9 @@
       appendAsLeader(tick, { kind: 'group', group: withLearners(replica.group, learners) })
       return
     }
-    const voter = this.admission.nextVoter(tick.tables)
-    if (voter !== null) {
-      replica.admission = { replica: voter, call: null, startedAt: tick.now }
+    const promotion = this.admission.nextVoter(tick.tables, tick.now)
+    if (promotion !== null) {
+      replica.admission = { replica: promotion.learner, replaces: promotion.replaces, call: null, startedAt: tick.now }
       return
     }
     const lost = this.admission.lostVoter(tick.tables, tick.now)
@@ -96,10 +98,11 @@
   }
 
   #requestJoin (tick: GroupTick): void {
-    this.#nextJoinAt = tick.now + JOIN_REQUEST_INTERVAL_MS
-    for (const { member } of tick.tables.members.rows()) {
-      if (member.role !== 'control' || member.host === tick.tables.replica.self.host) continue
-      sendLogMessage(tick, { replica: tick.tables.replica.self.replica, host: member.host, link: member.link }, { kind: 'join', replica: tick.tables.replica.self }, false)
+    const { members, replica } = tick.tables
+    const others = [...members.rows()].filter(({ member }) => member.role === 'control' && member.host !== replica.self.host)
+    this.#nextJoinAt = tick.now + (others.length > 0 ? JOIN_REQUEST_INTERVAL_MS : LONELY_RETRY_MS)
+    for (const { member } of others) {
+      sendLogMessage(tick, { replica: replica.self.replica, host: member.host, link: member.link }, { kind: 'join', replica: replica.self }, false)
     }
   }
 
@@ -109,7 +112,7 @@
     if (replica.role !== 'leader') tick.emit({ kind: 'proposal-answer', call: row.call, receipt: null, error: { kind: 'not-leader', leader: replica.leader } })
     else if (replica.admission !== null) tick.emit({ kind: 'proposal-answer', call: row.call, receipt: null, error: { kind: 'group-change-running' } })
     else if (joiner === undefined) tick.emit({ kind: 'proposal-answer', call: row.call, receipt: null, error: { kind: 'no-join-request' } })
-    else replica.admission = { replica: joiner, call: row.call, startedAt: tick.now }
+    else replica.admission = { replica: joiner, replaces: replica.group.voters.find(voter => voter.host === joiner.host) ?? null, call: row.call, startedAt: tick.now }
   }
 
   // Two concurrent changes could allow two disjoint majorities, so each one waits until the previous is committed.
@@ -123,18 +126,18 @@
     return true
   }
 
-  #advanceAdmission (tick: GroupTick, joiner: Replica): void {
+  #advanceAdmission (tick: GroupTick, admission: PendingAdmission): void {
     const { replica, followers } = tick.tables
     if (!this.#mayChangeGroup(tick.tables)) return
+    const joiner = admission.replica
     const follower = followers.get(joiner.replica)
     const isCaughtUp = follower !== undefined && follower.matchIndex >= replica.commit
-    const group = nextGroup(replica.group, joiner, isCaughtUp)
+    const group = nextGroup(replica.group, admission, isCaughtUp)
     if (group === null) {
-      const call = replica.admission?.call
       replica.admission = null
       this.#nextDecisionAt = tick.now + 1
       tick.tables.joining.remove(joiner.host)
-      if (call !== undefined && call !== null) tick.emit({ kind: 'proposal-answer', call, receipt: { index: replica.commit, version: 0 }, error: null })
+      if (admission.call !== null) tick.emit({ kind: 'proposal-answer', call: admission.call, receipt: { index: replica.commit, version: 0 }, error: null })
     } else if (group !== replica.group) {
       appendAsLeader(tick, { kind: 'group', group })
     }
--- a/src/replicated-log/replicaAdmission.ts
+++ b/src/replicated-log/replicaAdmission.ts
@@ -8,13 +8,16 @@
 /** Tables that an admission policy reads. */
 export type ReplicaAdmissionTables = LogTables & Pick<MembershipTables, 'members'>
 
+/** A learner that becomes a voter once the voter that it replaces, if any, has left the group. */
+export interface Promotion { readonly learner: Replica, readonly replaces: Replica | null }
+
 /** Decides about changes of the group that no operator has requested. */
 export interface ReplicaAdmission {
   readonly name: string
   /** Returns the replicas outside the group that become learners next. */
   newLearners (tables: ReplicaAdmissionTables, now: Millis): readonly Replica[]
-  /** Returns the learner that becomes a voter next, or null. */
-  nextVoter (tables: ReplicaAdmissionTables): Replica | null
+  /** Returns the learner that becomes a voter next, and the voter whose place it takes; null if there is none. */
+  nextVoter (tables: ReplicaAdmissionTables, now: Millis): Promotion | null
   /** Returns a voter that is presumed lost and should be removed, or null. */
   lostVoter (tables: ReplicaAdmissionTables, now: Millis): Replica | null
 }
@@ -34,6 +37,10 @@
 const JOIN_REQUEST_TTL_MS: Millis = 3_000
 /** Time for which a voter must be dead before it is removed; removal reduces the quorum that the others need. */
 const DEAD_VOTER_REMOVAL_DELAY_MS: Millis = 8_000
+/** A voter that has acknowledged nothing for this time may be replaced by a learner that has just joined. */
+const VOTER_SILENCE_MS: Millis = 1_000
+/** A learner that joined longer ago is no sign that a silent voter has been replaced. */
+const RECENT_JOIN_MS: Millis = 10_000
 /** No voter is removed from a group of this size: fewer voters do not tolerate the loss of two. */
 const MIN_VOTERS = 5
 /** More voters would make each commit wait for more disks, without tolerating the loss of more zones or regions. */
@@ -45,7 +52,8 @@
 
 /**
  * Admits control hosts that ask to join: all as learners, and up to MAX_VOTERS of them, spread over the availability zones, as
- * voters. Removes voters that stay dead, as long as enough remain; a learner then takes the place.
+ * voters. A learner that has just joined takes the place of a voter that is silent: it is probably the successor of its host.
+ * Removes voters that stay dead, as long as enough remain; a learner then takes the place.
  */
 export class AutomaticAdmission implements ReplicaAdmission {
   readonly name = 'automatic'
@@ -61,9 +69,11 @@
     return joiners
   }
 
-  nextVoter (tables: ReplicaAdmissionTables): Replica | null {
+  nextVoter (tables: ReplicaAdmissionTables, now: Millis): Promotion | null {
     for (const learner of tables.replica.group.learners) {
-      if (isAlive(tables.members.get(learner.host)) && this.#mayVote(tables, learner)) return learner
+      if (!isAlive(tables.members.get(learner.host))) continue
+      const promotion = this.#promotionOf(tables, learner, now)
+      if (promotion !== null) return promotion
     }
     return null
   }
@@ -77,9 +87,33 @@
     return null
   }
 
-  // A learner takes the place of an earlier replica of its host, whose disk was lost.
-  #mayVote ({ replica, members }: ReplicaAdmissionTables, learner: Replica): boolean {
-    const others = replica.group.voters.filter(voter => voter.host !== learner.host)
+  #promotionOf (tables: ReplicaAdmissionTables, learner: Replica, now: Millis): Promotion | null {
+    const { voters } = tables.replica.group
+    // Takes the place of an earlier replica of its host, whose disk was lost.
+    const earlier = voters.find(voter => voter.host === learner.host)
+    if (earlier !== undefined) return this.#mayVote(tables, learner, earlier) ? { learner, replaces: earlier } : null
+    const joinedAt = tables.followers.get(learner.replica)?.addedAt ?? now
+    // A voter that stopped before the learner joined must show as silent, or the group would count both.
+    if (voters.length >= MIN_VOTERS && now - joinedAt < VOTER_SILENCE_MS) return null
+    const silent = now - joinedAt < RECENT_JOIN_MS ? this.#silentVoters(tables, learner, now) : []
+    for (const replaces of [...silent, null]) {
+      if (this.#mayVote(tables, learner, replaces)) return { learner, replaces }
+    }
+    return null
+  }
+
+  // Those of the learner's zone first, then the one that has been silent for longest.
+  #silentVoters ({ replica, followers, members }: ReplicaAdmissionTables, learner: Replica, now: Millis): Replica[] {
+    const zone = members.get(learner.host)?.member.zone
+    const ackedAt = (voter: Replica): Millis => followers.get(voter.replica)?.ackedRoundSentAt ?? now
+    const isElsewhere = (voter: Replica): number => members.get(voter.host)?.member.zone === zone ? 0 : 1
+    return replica.group.voters
+      .filter(voter => voter.replica !== replica.self.replica && now - ackedAt(voter) >= VOTER_SILENCE_MS)
+      .sort((a, b) => isElsewhere(a) - isElsewhere(b) || ackedAt(a) - ackedAt(b))
+  }
+
+  #mayVote ({ replica, members }: ReplicaAdmissionTables, learner: Replica, replaces: Replica | null): boolean {
+    const others = replica.group.voters.filter(voter => voter.replica !== replaces?.replica)
     if (others.length >= MAX_VOTERS) return false
     const zones = new Set<ZoneId>()
     for (const { member } of members.rows()) {
--- a/src/replicated-log/replicationSystem.ts
+++ b/src/replicated-log/replicationSystem.ts
@@ -27,7 +27,7 @@
 const followerOf = (tick: LogTick, replica: Replica): FollowerRow => {
   let row = tick.tables.followers.get(replica.replica)
   if (row === undefined) {
-    row = { replica: replica.replica, nextIndex: tick.tables.log.lastIndex + 1, matchIndex: 0, ackedRoundSentAt: tick.now, sentCommit: 0, inFlightUntil: 0 }
+    row = { replica: replica.replica, nextIndex: tick.tables.log.lastIndex + 1, matchIndex: 0, addedAt: tick.now, ackedRoundSentAt: tick.now, sentCommit: 0, inFlightUntil: 0 }
     tick.tables.followers.put(row)
   }
   return row
--- a/src/replicated-log/types.ts
+++ b/src/replicated-log/types.ts
@@ -129,6 +129,8 @@
   readonly replica: ReplicaId
   nextIndex: LogIndex
   matchIndex: LogIndex
+  /** When the leader first sent to the replica in this term. */
+  readonly addedAt: Millis
   /** Send time of the newest round that the replica has acknowledged. */
   ackedRoundSentAt: Millis
   /** Commit index that was last sent to the replica. */
@@ -140,6 +142,8 @@
 /** An admission in progress: the replica joins as a learner and catches up, its predecessor leaves, then it becomes a voter. */
 export interface PendingAdmission {
   readonly replica: Replica
+  /** The voter that it replaces; null if the group grows. */
+  readonly replaces: Replica | null
   /** Call of the operator to be answered; null for an automatic admission. */
   readonly call: CallId | null
   readonly startedAt: Millis
