A server that deregisters at a control host that has just started is retired all the same

Cause: the list of servers is in memory. A control host that knows no servers confirmed each deregistration without proposing a retirement, while entry hosts still knew the server.

Ruled out: a retirement that is lost after it was committed; there is none in the log.

Evidence: two cases more in departuresAfterRestart.spec.ts, in which all control hosts have just started when they are told.

Why it works: what to retire is decided in findDeparture, apart from the protocol. An unknown server is retired by name and epoch, without a service; entry hosts match both forms.

--- a/src/backend-choice/candidates.ts
+++ b/src/backend-choice/candidates.ts
@@ -4,7 +4,7 @@
 import { remainingFraction } from '../core/decay.js'
 import type { Millis } from '../core/tick.js'
 import type { AnnouncementTables, BackendRow } from '../announcement/types.js'
-import { drainKey, retirementKey } from '../configuration/configurationTables.js'
+import { drainKey, isRetired } from '../configuration/configurationTables.js'
 import { isCold, maySendToCold } from '../warmup/warmupLimit.js'
 import type { WarmupLimitTables } from '../warmup/warmupLimit.js'
 
@@ -74,9 +74,9 @@
 export const findOutOfServiceReason = (tables: CandidateTables, row: BackendRow): 'draining' | 'gone' | 'evacuated' | null => {
   const { announcement } = row
   if (announcement.state !== 'up') return announcement.state
-  const { drains, retirements, evacuations } = tables.configuration
+  const { drains, evacuations } = tables.configuration
   if (drains.size > 0 && drains.has(drainKey(announcement))) return 'draining'
-  if (retirements.size > 0 && retirements.has(retirementKey(announcement))) return 'draining'
+  if (isRetired(tables.configuration, announcement)) return 'draining'
   return evacuations.has(announcement.zone) ? 'evacuated' : null
 }
 
--- a/src/configuration/configurationTables.ts
+++ b/src/configuration/configurationTables.ts
@@ -28,8 +28,14 @@
 export const profileKey = (profile: ProfileId, version: number): string => `${profile}@${version}`
 export const drainKey = (drain: Drain): string => `${drain.service}/${drain.backend}`
 
+const ANY_SERVICE = '*'
+
 /** Returns the key of one incarnation of a backend server. */
-export const retirementKey = (retirement: Retirement): string => `${retirement.service}/${retirement.backend}@${retirement.epoch}`
+export const retirementKey = (retirement: Retirement): string => `${retirement.service ?? ANY_SERVICE}/${retirement.backend}@${retirement.epoch}`
+
+/** Whether one incarnation of a backend server has announced its shutdown. */
+export const isRetired = ({ retirements }: Pick<Configuration, 'retirements'>, { service, backend, epoch }: Retirement): boolean =>
+  retirements.size > 0 && (retirements.has(retirementKey({ service, backend, epoch })) || retirements.has(retirementKey({ service: null, backend, epoch })))
 
 /** Returns the terms of a service, or null unless its profile version is approved. */
 export const findApprovedTerms = (configuration: Configuration, service: ServiceId): ProfileTerms | null => {
--- a/src/configuration/departuresAfterRestart.spec.ts
+++ b/src/configuration/departuresAfterRestart.spec.ts
@@ -1,4 +1,5 @@
 import t from 'tap'
+import { findDeparture } from '../announcement/departure.js'
 import { findOutOfServiceReason } from '../backend-choice/candidates.js'
 import { toId } from '../core/id.js'
 import type { HostId, OperatorId, RequestId } from '../core/id.js'
@@ -52,8 +53,10 @@
   /** Lets servers leave and withdraws keys, at any control host that answers, until all is acknowledged and in force. */
   depart (): void {
     for (const server of this.#leftServers()) {
-      const { service, backend, epoch } = server.announcement
-      this.#send({ kind: 'retire-backend', retirement: { service, backend, epoch } })
+      const { backend, epoch } = server.announcement
+      // The control host that is told of it may have started a moment ago.
+      const retirement = findDeparture(this.reporting.control.tables(this.#runningControl()), backend, epoch)
+      if (retirement !== null) this.#send({ kind: 'retire-backend', retirement })
       server.hasLeft = true
     }
     for (const workspace of WORKSPACES.slice(0, WITHDRAWN_COUNT)) this.#send({ kind: 'withdraw-key', digest: keyDigestOf(workspace) })
@@ -99,6 +102,15 @@
     return lacking
   }
 
+  #runningControl (): HostId {
+    const { fleet, control } = this.reporting
+    for (;;) {
+      const host = control.hosts.find(name => fleet.nodes.get(name)?.isDown === false)
+      if (host !== undefined) return host
+      fleet.runFor(10)
+    }
+  }
+
   #leftServers (): ReportingServer[] {
     const { servers } = this.reporting
     return servers.filter((_, position) => position % Math.floor(servers.length / LEFT_COUNT) === 0)
@@ -170,6 +182,23 @@
       departures.restartAllEntries()
     }
   },
+  'all control hosts have just started when they are told': {
+    before: departures => {
+      departures.restartAllControls()
+      departures.reporting.fleet.runFor(700)
+    },
+    after: () => {}
+  },
+  'all control hosts have just started when they are told, and start once more': {
+    before: departures => {
+      departures.restartAllControls()
+      departures.reporting.fleet.runFor(700)
+    },
+    after: departures => {
+      departures.restartAllControls()
+      departures.restartAllEntries()
+    }
+  },
   'a control host with an old disk starts beside all entry hosts': {
     before: killFollower,
     after: departures => {
--- a/src/configuration/types.ts
+++ b/src/configuration/types.ts
@@ -73,7 +73,8 @@
 
 /** One incarnation of a backend server that announced its shutdown and gets no new requests. */
 export interface Retirement {
-  readonly service: ServiceId
+  /** Null if the control host that the server told of it knew no service for it; the server's process is meant all the same. */
+  readonly service: ServiceId | null
   readonly backend: BackendId
   /** Start of the server's process, in wall-clock milliseconds. */
   readonly epoch: number
--- a/src/front-end/messageSchema.ts
+++ b/src/front-end/messageSchema.ts
@@ -46,7 +46,8 @@
 })
 
 const warmup = z.object({ coldMs: z.number().nonnegative(), ratePerS: z.number().nonnegative() })
-const retirement = z.object({ service: id, backend: id, epoch: z.number() })
+/** Schema of a retirement on a link and in the log. */
+export const retirementSchema = z.object({ service: id.nullable(), backend: id, epoch: z.number() })
 const regions = z.array(id).max(256)
 /** Schema of a plan on a link and in the log. */
 export const planSchema = z.object({
@@ -88,7 +89,7 @@
   z.strictObject({ kind: z.literal('put-plan'), plan: planSchema }),
   z.strictObject({ kind: z.literal('start-evacuation'), zone: id }),
   z.strictObject({ kind: z.literal('end-evacuation'), zone: id }),
-  z.strictObject({ kind: z.literal('retire-backend'), retirement })
+  z.strictObject({ kind: z.literal('retire-backend'), retirement: retirementSchema })
 ])
 
 const envelope = z.object({
@@ -122,7 +123,7 @@
   records: z.array(z.object({ key: id, fingerprint: z.string(), receipt: z.object({ index, version: index }).nullable(), error: z.object({ kind: z.string() }).loose().nullable() })),
   plan: planSchema.nullable(),
   evacuations: z.array(z.object({ zone: id })),
-  retirements: z.array(retirement)
+  retirements: z.array(retirementSchema)
 })
 
 const replica = z.object({ replica: id, host: id, link: address })
--- a/src/front-end/replicable.ts
+++ b/src/front-end/replicable.ts
@@ -5,11 +5,12 @@
 import { fail, ok } from '../core/outcome.js'
 import type { Outcome } from '../core/outcome.js'
 import type { Millis } from '../core/tick.js'
+import type { Retirement } from '../configuration/types.js'
 import type { Plan } from '../plan/types.js'
 import { estimatePlanBytes } from '../plan/planSize.js'
 import { firstIssue } from './jsonBody.js'
 import { MAX_MESSAGE_BYTES } from './linkCodec.js'
-import { announcementSchema, planSchema } from './messageSchema.js'
+import { announcementSchema, planSchema, retirementSchema } from './messageSchema.js'
 
 /** A server can't have started later than this after now. A later start would outrank every other server at its address. */
 const MAX_CLOCK_DIFFERENCE_MS: Millis = 3_600_000
@@ -28,6 +29,12 @@
   return ok(parsed.data as unknown as Announcement)
 }
 
+/** Returns the retirement if every host accepts it, else the reason. */
+export const checkRetirement = (value: Retirement): Outcome<Retirement, string> => {
+  const parsed = retirementSchema.safeParse(value)
+  return parsed.success ? ok(value) : fail(firstIssue(parsed.error))
+}
+
 /** Returns why a plan can't be replicated; null if it can. */
 export const findPlanFault = (plan: Plan): string | null => {
   if (estimatePlanBytes(plan) > MAX_PLAN_BYTES) return 'too large'
