A record counts as written only as a whole; a full disk no longer ends a control host

Cause: the count that a write returns was never read, so on a disk that is nearly full a part of a record counted as all of it, and entries that had been acknowledged were gone after the next start.

A host whose disk refuses writes doesn't campaign; a leader goes on for 5 s. The size of the log is a metric, with a warning.

Ruled out: ending on each refusal as before (exits, and an election each time it is the leader); handing over at once (an election each time).

--- a/src/bench/capacity.ts
+++ b/src/bench/capacity.ts
@@ -82,8 +82,8 @@
   const folder = mkdtempSync(join(tmpdir(), 'rhubarbseam-disk-'))
   try {
     const replica = toId<ReplicaId>('c#0')
-    createReplica(folder, foundingImage(replica, { voters: [], learners: [] }))
-    const opened = DiskStore.open(folder)
+    await createReplica(folder, foundingImage(replica, { voters: [], learners: [] }))
+    const opened = await DiskStore.open(folder)
     if (opened.tag === 'error') throw new Error(JSON.stringify(opened.error))
     const times: number[] = []
     const entries = 2_000
@@ -97,7 +97,7 @@
     opened.value.store.close()
     printLine(`disk: ${Math.round(entries / seconds)} sequential synced writes per second, p50 ${quantile(times, 0.5).toFixed(2)} ms, p99 ${quantile(times, 0.99).toFixed(2)} ms`)
     const before = performance.now()
-    const reopened = DiskStore.open(folder)
+    const reopened = await DiskStore.open(folder)
     printLine(`recovery: ${entries} entries read in ${(performance.now() - before).toFixed(0)} ms (the log is compacted every 1,000 entries)`)
     if (reopened.tag === 'ok') reopened.value.store.close()
   } finally {
--- a/src/command-line/main.ts
+++ b/src/command-line/main.ts
@@ -66,10 +66,10 @@
   printLine(`${String(options.config)}: settings of ${settings.role} host ${settings.host} are valid`)
 }
 
-const foundGroup = (options: CommandOptions): void => {
+const foundGroup = async (options: CommandOptions): Promise<void> => {
   const settings = requireSettings(options.config)
   if (settings.role !== 'control') return exitWithError('only a control host has a replica to found', exitCodes.wrongUse)
-  const outcome = createFoundingReplica(settings)
+  const outcome = await createFoundingReplica(settings)
   if (outcome.tag === 'error') return exitWithError(describeStartError(outcome.error), exitCodes.cannotStart)
   printLine(`created the initial replica of ${settings.host} in ${settings.dataFolder}`)
 }
--- a/src/control/controlProcess.ts
+++ b/src/control/controlProcess.ts
@@ -51,9 +51,9 @@
 })
 
 /** Writes the initial replica of a new group to the data folder. Must run exactly once on every founder. */
-export const createFoundingReplica = (settings: ControlSettings): Outcome<null, StartError> => {
+export const createFoundingReplica = async (settings: ControlSettings): Promise<Outcome<null, StartError>> => {
   const group: Group = { voters: settings.founders.map(toReplica), learners: [] }
-  return createReplica(settings.dataFolder, foundingImage(toId<ReplicaId>(`${settings.host}#0`), group))
+  return await createReplica(settings.dataFolder, foundingImage(toId<ReplicaId>(`${settings.host}#0`), group))
 }
 
 /**
--- a/src/control/controlRuntime.ts
+++ b/src/control/controlRuntime.ts
@@ -14,6 +14,7 @@
 import type { Address } from '../core/address.js'
 import { linkScope } from '../membership/linkScope.js'
 import type { Member, Seed } from '../membership/types.js'
+import { DiskUse } from '../observability/diskUse.js'
 import type { Log } from '../observability/log.js'
 import { Metrics, metricsListeners } from '../observability/metrics.js'
 import { DiskStore, createReplica, hasReplica } from '../replicated-log/diskStore.js'
@@ -54,6 +55,8 @@
   readonly reportExpiryMs: number
   /** Between which hosts gossip travels; defaults to `epidemic`, a few random hosts. */
   readonly dissemination?: DisseminationName
+  /** Size of the disk, in bytes; null or absent if it is unknown. */
+  readonly diskBytes?: number | null
   readonly metrics: Address | undefined
   readonly log: Log
   createFrontEnd (context: ControlContext): ControlFrontEnd
@@ -61,24 +64,28 @@
 
 // An empty folder gets a new replica id, which must be admitted to the group first: it must not vote in place of a replica whose disk
 // was lost.
-const openStore = ({ dataFolder, self, founders }: ControlRuntimeOptions): ReturnType<typeof DiskStore.open> => {
+const openStore = async ({ dataFolder, self, founders, log }: ControlRuntimeOptions): ReturnType<typeof DiskStore.open> => {
   if (!hasReplica(dataFolder)) {
     const image = founders === null
       ? { replica: toId<ReplicaId>(`${self.host}#${randomUUID()}`), term: 0, votedFor: null, snapshot: null, entries: [] }
       : foundingImage(toId<ReplicaId>(`${self.host}#0`), { voters: founders, learners: [] })
-    const created = createReplica(dataFolder, image)
+    const created = await createReplica(dataFolder, image)
     if (created.tag === 'error') return created
   }
-  return DiskStore.open(dataFolder)
+  return await DiskStore.open(dataFolder, reason => { log.warn({ reason }, 'no room for a snapshot; the log stays as it is') })
 }
 
+const ignoreSignal = (): void => {}
+
 /** Starts a control host. Returns an error if it cannot start. */
 export const runControl = async (options: ControlRuntimeOptions): Promise<Outcome<RunningProcess, StartError>> => {
   const { self, seeds, log } = options
-  const opened = openStore(options)
+  const opened = await openStore(options)
   if (opened.tag === 'error') return opened
   const { store, image } = opened.value
   const metrics = new Metrics()
+  const diskUse = new DiskUse(metrics, log, options.diskBytes ?? null)
+  diskUse.record(store.bytes)
   const world = createControlWorld({ self, seeds, image, dissemination: options.dissemination, admission: options.admission, reportExpiryMs: options.reportExpiryMs, randomSeed: Date.now() ^ process.pid, now: monotonicClock() })
   const { tables } = world
   const eventLog = new EventLog(log)
@@ -98,17 +105,28 @@
   })
   const frontEnd = options.createFrontEnd({ tables, metrics, log, push })
   const outbox = new ControlOutbox({
-    write: async records => { await store.write(records) },
+    write: async records => {
+      const outcome = await store.write(records)
+      diskUse.record(store.bytes)
+      return outcome
+    },
     send: row => { hub.send(row.to, row.address, row.message) },
     drop: row => { hub.drop(row.to) },
     answer: row => { frontEnd.deliver(row) },
     push,
+    onRefusal: reason => {
+      metrics.diskRefuses.set(reason === null ? 0 : 1)
+      if (reason === null) log.info('the disk takes writes again')
+      else log.warn({ reason }, 'the disk refuses writes; this replica confirms nothing until it takes them')
+    },
     onDiskFailure: error => {
       // After a failed sync the state of the disk is unknown. Continuing could lose entries that this replica has acknowledged.
       log.fatal({ err: error }, 'disk write failed; stopping this replica')
       process.exit(exitCodes.diskFailed)
     }
   })
+  // A limit on file size refuses a write too; by default its signal would end the process.
+  process.on('SIGXFSZ', ignoreSignal)
   const runner = new Runner(world, row => { outbox.deliver(row) })
 
   const listening = await listenAll([
@@ -122,8 +140,9 @@
   return ok({
     stop: async () => {
       frontEnd.close()
+      process.off('SIGXFSZ', ignoreSignal)
       runner.stop()
-      await outbox.waitForWrites()
+      await outbox.stop()
       hub.close()
       store.close()
       log.info('control host stopped')
--- a/src/control/types.ts
+++ b/src/control/types.ts
@@ -7,13 +7,13 @@
 import type { AnnouncementReceived } from '../announcement/types.js'
 import type { LookupTables } from '../lookup/lookupSystem.js'
 import type { LookupAnswered, LookupReceived } from '../lookup/types.js'
-import type { CommandProposed, LogMessage, LogMessageSent, LogTables, Persisted, PersistRequested, ProposalAnswered, ReadAnswered, ReadRequested, ReplicaAdmitted } from '../replicated-log/types.js'
+import type { CommandProposed, DiskReported, LogMessage, LogMessageSent, LogTables, Persisted, PersistRequested, ProposalAnswered, ReadAnswered, ReadRequested, ReplicaAdmitted } from '../replicated-log/types.js'
 
 /** Messages that a control host accepts from other processes of the fleet. */
 export type ControlMessage = GossipMessage | LogMessage
 
 /** Rows of the inbox. */
-export type ControlInput = MessageReceived<ControlMessage> | Persisted | CommandProposed | ReplicaAdmitted | ReadRequested | AnnouncementReceived | LookupReceived
+export type ControlInput = MessageReceived<ControlMessage> | Persisted | DiskReported | CommandProposed | ReplicaAdmitted | ReadRequested | AnnouncementReceived | LookupReceived
 
 /** Answers to operators' calls. */
 export type OperatorCallAnswered = ProposalAnswered | ReadAnswered
--- a/src/observability/metrics.ts
+++ b/src/observability/metrics.ts
@@ -27,6 +27,8 @@
   readonly ticks = new Counter({ name: 'rhubarbseam_ticks_total', help: 'Rows added to the inbox', registers: [this.registry] })
   readonly malformed = new Counter({ name: 'rhubarbseam_malformed_total', help: 'Link frames and requests rejected as malformed', labelNames: ['where'], registers: [this.registry] })
   readonly linkBytes = new Counter({ name: 'rhubarbseam_link_bytes_total', help: 'Bytes sent and received on links between processes, by kind of message and distance of the other end', labelNames: ['direction', 'kind', 'scope'], registers: [this.registry] })
+  readonly diskBytes = new Gauge({ name: 'rhubarbseam_disk_bytes', help: 'Size of the log of this control host on disk, in bytes', registers: [this.registry] })
+  readonly diskRefuses = new Gauge({ name: 'rhubarbseam_disk_refuses', help: 'Whether the disk of this control host refuses writes, 0 or 1', registers: [this.registry] })
   readonly configurationIndex = new Gauge({ name: 'rhubarbseam_configuration_index', help: 'Log index of the configuration in force on this host', registers: [this.registry] })
   readonly configurationAge = new Gauge({ name: 'rhubarbseam_configuration_age_seconds', help: 'Time since the configuration of this host was last confirmed to be current, in seconds', registers: [this.registry] })
   readonly members = new Gauge({ name: 'rhubarbseam_members', help: 'Members of the fleet, by state', labelNames: ['state'], registers: [this.registry] })
--- a/src/replicated-log/commitSystem.ts
+++ b/src/replicated-log/commitSystem.ts
@@ -217,6 +217,6 @@
     replica.snapshot = { index, term, group: groupAt(tick.tables, index), configuration: takeSnapshot(configuration) }
     const firstRetained = index - countRetained(tick.tables, index)
     if (firstRetained > log.baseIndex) log.compact(firstRetained)
-    persist(toLogTick(tick), { kind: 'snapshot', snapshot: replica.snapshot, kept: log.rows().filter(entry => entry.index > index) })
+    persist(toLogTick(tick), { kind: 'snapshot', snapshot: replica.snapshot, kept: log.rows().filter(entry => entry.index > index), isCompaction: true })
   }
 }
--- a/src/replicated-log/diskStore.spec.ts
+++ b/src/replicated-log/diskStore.spec.ts
@@ -11,43 +11,43 @@
 const replica = toId<ReplicaId>('c1#0')
 const entry = (index: number, term = 1): Entry => ({ index, term, payload: { kind: 'start-of-term' } })
 
-const makeFolder = (t: { teardown: (run: () => void) => void }): string => {
+const makeFolder = async (t: { teardown: (run: () => void) => void }): Promise<string> => {
   const folder = mkdtempSync(join(tmpdir(), 'rhubarbseam-disk-'))
   t.teardown(() => { rmSync(folder, { recursive: true }) })
-  createReplica(folder, foundingImage(replica, { voters: [], learners: [] }))
+  await createReplica(folder, foundingImage(replica, { voters: [], learners: [] }))
   return folder
 }
 
-const open = (folder: string): { store: DiskStore, image: DiskImage } => {
-  const opened = DiskStore.open(folder)
+const open = async (folder: string): Promise<{ store: DiskStore, image: DiskImage }> => {
+  const opened = await DiskStore.open(folder)
   if (opened.tag === 'error') throw new Error(JSON.stringify(opened.error))
   return opened.value
 }
 
 const write = async (folder: string, records: readonly DiskRecord[]): Promise<void> => {
-  const { store } = open(folder)
-  await store.write(records)
+  const { store } = await open(folder)
+  t.same(await store.write(records), { tag: 'ok', value: null })
   store.close()
 }
 
 const describe = (image: DiskImage): string => `term ${image.term}, vote ${image.votedFor ?? 'none'}, snapshot ${image.snapshot?.index ?? 'none'}, entries ${image.entries.map(row => `${row.index}@${row.term}`).join(' ')}`
 
 t.test('written records are read back, and a later entry replaces a conflicting one', async t => {
-  const folder = makeFolder(t)
+  const folder = await makeFolder(t)
   await write(folder, [{ kind: 'vote', term: 1, votedFor: replica }, { kind: 'entries', entries: [entry(2), entry(3)] }])
   await write(folder, [{ kind: 'entries', entries: [entry(3, 2)] }, { kind: 'vote', term: 2, votedFor: null }])
-  t.matchSnapshot(describe(open(folder).image))
+  t.matchSnapshot(describe((await open(folder)).image))
 })
 
 t.test('a snapshot replaces the log and keeps the vote', async t => {
-  const folder = makeFolder(t)
+  const folder = await makeFolder(t)
   const snapshot = { index: 3, term: 1, group: { voters: [], learners: [] }, configuration: takeSnapshot(createConfiguration()) }
   await write(folder, [{ kind: 'vote', term: 4, votedFor: replica }, { kind: 'entries', entries: [entry(2), entry(3), entry(4)] }, { kind: 'snapshot', snapshot, kept: [entry(2), entry(3), entry(4)] }, { kind: 'entries', entries: [entry(5)] }])
-  t.matchSnapshot(describe(open(folder).image))
+  t.matchSnapshot(describe((await open(folder)).image))
 })
 
 t.test('a file truncated at any byte yields all complete frames and accepts new records', async t => {
-  const folder = makeFolder(t)
+  const folder = await makeFolder(t)
   const path = join(folder, 'log')
   const first = readFileSync(path).length
   await write(folder, [{ kind: 'entries', entries: [entry(2)] }])
@@ -57,17 +57,17 @@
   for (let size = first; size < whole.length; size += 1) {
     writeFileSync(path, whole.subarray(0, size))
     const expected = size < second ? 1 : 2
-    const { store, image } = open(folder)
+    const { store, image } = await open(folder)
     store.close()
     if (image.entries.length !== expected) t.fail(`cut at byte ${size}: ${image.entries.length} entries`)
     await write(folder, [{ kind: 'entries', entries: [entry(expected + 1, 9)] }])
-    if (open(folder).image.entries.at(-1)?.term !== 9) t.fail(`cut at byte ${size}: new records are not read back`)
+    if ((await open(folder)).image.entries.at(-1)?.term !== 9) t.fail(`cut at byte ${size}: new records are not read back`)
   }
   t.pass('every cut')
 })
 
 t.test('a torn last frame is truncated, damage before it is an error', async t => {
-  const folder = makeFolder(t)
+  const folder = await makeFolder(t)
   const path = join(folder, 'log')
   await write(folder, [{ kind: 'entries', entries: [entry(2)] }])
   const before = readFileSync(path).length
@@ -76,34 +76,34 @@
   const torn = Buffer.from(whole)
   torn[whole.length - 1] = (torn[whole.length - 1] ?? 0) ^ 0xff
   writeFileSync(path, torn)
-  t.equal(open(folder).image.entries.length, 2)
+  t.equal((await open(folder)).image.entries.length, 2)
   const damaged = Buffer.from(whole)
   damaged[before - 1] = (damaged[before - 1] ?? 0) ^ 0xff
   writeFileSync(path, damaged)
-  const outcome = DiskStore.open(folder)
+  const outcome = await DiskStore.open(folder)
   t.equal(outcome.tag === 'error' ? outcome.error.kind : 'opened', 'log-corrupt')
   truncateSync(path, 0)
-  t.same(open(folder).image.entries, [])
+  t.same((await open(folder)).image.entries, [])
 })
 
 t.test('zeros at the end of the file, as a power loss may leave them, are a torn frame', async t => {
   for (const zeros of [1, 7, 8, 9, 4_096]) {
-    const folder = makeFolder(t)
+    const folder = await makeFolder(t)
     const path = join(folder, 'log')
     await write(folder, [{ kind: 'entries', entries: [entry(2)] }])
     const whole = readFileSync(path)
     writeFileSync(path, Buffer.concat([whole, Buffer.alloc(zeros)]))
-    t.equal(open(folder).image.entries.length, 2, `${zeros} zeros`)
+    t.equal((await open(folder)).image.entries.length, 2, `${zeros} zeros`)
     await write(folder, [{ kind: 'entries', entries: [entry(3, 9)] }])
-    t.equal(open(folder).image.entries.at(-1)?.term, 9, `${zeros} zeros: new records are read back`)
+    t.equal((await open(folder)).image.entries.at(-1)?.term, 9, `${zeros} zeros: new records are read back`)
     writeFileSync(path, Buffer.concat([Buffer.alloc(zeros + 8), whole]))
-    const outcome = DiskStore.open(folder)
+    const outcome = await DiskStore.open(folder)
     t.equal(outcome.tag === 'error' ? outcome.error.kind : 'opened', 'log-corrupt', `${zeros} zeros before a frame are damage`)
   }
 })
 
 t.test('a replica is created only once in a folder', async t => {
-  const folder = makeFolder(t)
-  t.matchSnapshot(createReplica(folder, foundingImage(replica, { voters: [], learners: [] })))
-  t.equal(DiskStore.open(join(folder, 'absent')).tag, 'error')
+  const folder = await makeFolder(t)
+  t.matchSnapshot(await createReplica(folder, foundingImage(replica, { voters: [], learners: [] })))
+  t.equal((await DiskStore.open(join(folder, 'absent'))).tag, 'error')
 })
--- a/src/replicated-log/electionSystem.ts
+++ b/src/replicated-log/electionSystem.ts
@@ -11,6 +11,9 @@
 type VoteRequest = Extract<LogMessage, { kind: 'vote-request' }>
 type VoteReply = Extract<LogMessage, { kind: 'vote-reply' }>
 
+/** A leader whose disk refuses writes for this time hands over. */
+export const MAX_LEADING_WITHOUT_DISK_MS: Millis = 5_000
+
 const isLogCurrent = (tables: ReplicaTables, request: VoteRequest): boolean => {
   const { lastTerm, lastIndex } = tables.log
   if (request.lastTerm !== lastTerm) return request.lastTerm > lastTerm
@@ -83,13 +86,26 @@
       else if (row.message.kind === 'vote-reply') this.#countVoteReply(tick, row.message)
     }
     const replica = tick.tables.replica
+    this.#yieldWithoutDisk(tick)
     if (replica.role === 'leader' || tick.now < replica.electionAt) return
-    if (isVoter(tick.tables, replica.self.replica)) campaign(tick, true)
+    if (isVoter(tick.tables, replica.self.replica) && replica.diskRefusesSince === null) campaign(tick, true)
     else replica.electionAt = drawElectionAt(tick)
   }
 
   deadline (tables: ReplicaTables): Millis {
-    return tables.replica.role === 'leader' ? NEVER : tables.replica.electionAt
+    const { role, diskRefusesSince, electionAt } = tables.replica
+    if (role !== 'leader') return electionAt
+    return diskRefusesSince === null ? NEVER : diskRefusesSince + MAX_LEADING_WITHOUT_DISK_MS
+  }
+
+  // A candidate could not make its own vote durable. A leader doesn't need its disk while a quorum of the others has theirs, but
+  // the records that wait for it take memory.
+  #yieldWithoutDisk (tick: LogTick): void {
+    const { role, term, diskRefusesSince } = tick.tables.replica
+    if (diskRefusesSince === null) return
+    const isCandidate = role === 'candidate' || role === 'pre-candidate'
+    const hasLedTooLong = role === 'leader' && tick.now - diskRefusesSince >= MAX_LEADING_WITHOUT_DISK_MS
+    if (isCandidate || hasLedTooLong) becomeFollower(tick, term, null)
   }
 
   #answerVoteRequest (tick: LogTick, from: HostId, request: VoteRequest): void {
--- a/src/replicated-log/replicaSteps.ts
+++ b/src/replicated-log/replicaSteps.ts
@@ -5,7 +5,7 @@
 import type { Configuration } from '../configuration/configurationTables.js'
 import { CAMPAIGN_RETRY_MS, ELECTION_TIMEOUT_MS } from './timing.js'
 import { latestGroup } from './replicaTables.js'
-import type { CommandProposed, DiskRecord, Entry, LogMessage, LogMessageSent, LogTables, Payload, Persisted, PersistRequested, ProposalAnswered, Replica, ReplicaAdmitted, ReplicaId } from './types.js'
+import type { CommandProposed, DiskRecord, DiskReported, Entry, LogMessage, LogMessageSent, LogTables, Payload, Persisted, PersistRequested, ProposalAnswered, Replica, ReplicaAdmitted, ReplicaId } from './types.js'
 import type { MessageReceived } from '../membership/types.js'
 
 export const MAX_ENTRIES_PER_APPEND = 64
@@ -13,7 +13,7 @@
 /** Tables that the systems of the log use. */
 export type ReplicaTables = LogTables & { readonly configuration: Configuration }
 /** Inbox rows that the systems of the log handle. */
-export type LogInput = MessageReceived<LogMessage> | Persisted | CommandProposed | ReplicaAdmitted
+export type LogInput = MessageReceived<LogMessage> | Persisted | DiskReported | CommandProposed | ReplicaAdmitted
 /** Outbox rows that the systems of the log emit. */
 export type LogOutput = LogMessageSent | PersistRequested | ProposalAnswered
 export type LogTick = Tick<ReplicaTables, LogInput, LogOutput>
--- a/src/replicated-log/replicaTables.ts
+++ b/src/replicated-log/replicaTables.ts
@@ -45,6 +45,7 @@
       syncedSequence: 0,
       unsynced: new Map(),
       syncedIndex: log.lastIndex,
+      diskRefusesSince: null,
       group: latestGroup(image, image.entries),
       snapshot: base,
       admission: null,
--- a/src/replicated-log/replicationSystem.ts
+++ b/src/replicated-log/replicationSystem.ts
@@ -96,6 +96,7 @@
   run (tick: LogTick): void {
     for (const row of tick.inbox) {
       if (row.kind === 'persisted') this.#recordSync(tick, row.sequence)
+      if (row.kind === 'disk') tick.tables.replica.diskRefusesSince = row.isRefusing ? tick.now : null
       if (row.kind !== 'message') continue
       if (row.message.kind === 'append') this.#handleAppend(tick, row.from, row.message)
       else if (row.message.kind === 'append-reply') this.#handleAppendReply(tick, row.message)
--- a/src/replicated-log/types.ts
+++ b/src/replicated-log/types.ts
@@ -47,11 +47,14 @@
   readonly configuration: ConfigurationSnapshot
 }
 
-/** A record that must be synced to disk before any message that depends on it is sent. */
+/**
+ * A record that must be synced to disk before any message that depends on it is sent. A snapshot record holds the whole log. If it
+ * is a compaction, the records before it say the same, so it may be left out.
+ */
 export type DiskRecord =
   | { readonly kind: 'vote', readonly term: number, readonly votedFor: ReplicaId | null }
   | { readonly kind: 'entries', readonly entries: readonly Entry[] }
-  | { readonly kind: 'snapshot', readonly snapshot: LogSnapshot, readonly kept: readonly Entry[] }
+  | { readonly kind: 'snapshot', readonly snapshot: LogSnapshot, readonly kept: readonly Entry[], readonly isCompaction?: boolean }
 
 /** State that a replica reads from its disk at startup. */
 export interface DiskImage {
@@ -76,12 +79,15 @@
   readonly afterSync: boolean
 }
 
-/** Requests that a record is written and synced; a failed sync ends the process. */
+/** Requests that a record is written and synced. A refused write is tried again; a failed sync ends the process. */
 export interface PersistRequested { readonly kind: 'persist', readonly record: DiskRecord, readonly sequence: number }
 
 /** Reports that all persist requests up to and including this sequence are synced. */
 export interface Persisted { readonly kind: 'persisted', readonly sequence: number }
 
+/** Reports that the disk refuses writes, or takes them again. */
+export interface DiskReported { readonly kind: 'disk', readonly isRefusing: boolean }
+
 /** Proposes an operator's command to the log. */
 export interface CommandProposed { readonly kind: 'propose', readonly call: CallId, readonly envelope: CommandEnvelope }
 
@@ -172,6 +178,8 @@
   /** Last log index that each unsynced persist request covers, by sequence. */
   readonly unsynced: Map<number, LogIndex>
   syncedIndex: LogIndex
+  /** Since when the disk refuses writes; null while it takes them. */
+  diskRefusesSince: Millis | null
   group: Group
   snapshot: LogSnapshot | null
   admission: PendingAdmission | null
--- a/src/stand-ins/virtualControl.ts
+++ b/src/stand-ins/virtualControl.ts
@@ -11,7 +11,7 @@
 import { buildImage } from '../replicated-log/diskFormat.js'
 import type { ReplicaAdmission } from '../replicated-log/replicaAdmission.js'
 import { foundingImage } from '../replicated-log/replicaTables.js'
-import type { CallId, DiskRecord, Group, LogMessageSent, ProposalAnswered, ReadAnswered, Replica, ReplicaId } from '../replicated-log/types.js'
+import type { CallId, DiskRecord, Group, LogMessageSent, PersistRequested, ProposalAnswered, ReadAnswered, Replica, ReplicaId } from '../replicated-log/types.js'
 import type { VirtualFleet, VirtualNode } from './virtualFleet.js'
 
 /** A simulated disk that holds the log of one replica. */
@@ -20,7 +20,10 @@
   records: DiskRecord[]
   /** Messages that must not be sent before the pending writes are synced, in order. */
   heldMessages: LogMessageSent[]
-  unsynced: DiskRecord[]
+  unsynced: PersistRequested[]
+  /** Whether the disk refuses writes, and whether the host has been told. */
+  isFull: boolean
+  isRefusing: boolean
   /** Incremented at each start and kill, so that a sync that was scheduled before has no effect. */
   generation: number
 }
@@ -37,6 +40,12 @@
   readonly reportExpiryMs?: Millis
 }
 
+const createDisk = (replica: ReplicaId, records: DiskRecord[]): VirtualDisk =>
+  ({ replica, records, heldMessages: [], unsynced: [], isFull: false, isRefusing: false, generation: 0 })
+
+/** Time after which a refused write is tried again. */
+const WRITE_RETRY_MS: Millis = 100
+
 const createMember = (host: HostId, zone: string, epoch: number): Member => ({
   host,
   role: 'control',
@@ -69,7 +78,7 @@
     this.#founders = founding.map(host => ({ replica: toId<ReplicaId>(`${host}#0`), host, link: { address: host, port: 1 } }))
     const group: Group = { voters: this.#founders, learners: [] }
     for (const { host, replica } of this.#founders) {
-      this.disks.set(host, { replica, records: [{ kind: 'entries', entries: foundingImage(replica, group).entries }], heldMessages: [], unsynced: [], generation: 0 })
+      this.disks.set(host, createDisk(replica, [{ kind: 'entries', entries: foundingImage(replica, group).entries }]))
       this.start(host)
     }
     for (const host of this.hosts.slice(founding.length)) this.join(host)
@@ -77,7 +86,7 @@
 
   /** Starts a host with an empty disk, as a replica that is not in the group yet. */
   join (host: HostId): void {
-    this.disks.set(host, { replica: toId<ReplicaId>(`${host}#${this.fleet.random.below(1 << 30)}`), records: [], heldMessages: [], unsynced: [], generation: 0 })
+    this.disks.set(host, createDisk(toId<ReplicaId>(`${host}#${this.fleet.random.below(1 << 30)}`), []))
     this.start(host)
   }
 
@@ -87,6 +96,7 @@
     disk.generation += 1
     disk.heldMessages = []
     disk.unsynced = []
+    disk.isRefusing = false
     this.#startCount += 1
     const seeds = this.#founders.filter(founder => founder.host !== host).map(founder => ({ host: founder.host, link: founder.link }))
     const world = createControlWorld({
@@ -122,6 +132,9 @@
     disk.replica = toId<ReplicaId>(`${host}#${this.fleet.random.below(1 << 30)}`)
   }
 
+  /** Makes the disk of a host refuse writes, or take them again. */
+  setDiskFull (host: HostId, isFull: boolean): void { this.#disk(host).isFull = isFull }
+
   /** Proposes a command at a host; the answer is stored in `proposalAnswers`. */
   propose (host: HostId, envelope: CommandEnvelope): CallId {
     this.#callCount += 1
@@ -164,21 +177,34 @@
   }
 
   #deliver (node: VirtualNode, disk: VirtualDisk, row: ControlOutput): void {
-    if (row.kind === 'persist') this.#persist(node, disk, row.record, row.sequence)
+    if (row.kind === 'persist') this.#persist(node, disk, row)
     else if (row.kind === 'proposal-answer') this.proposalAnswers.set(row.call, row)
     else if (row.kind === 'read-answer') this.readAnswers.set(row.call, row)
     else if (row.kind === 'send' && 'afterSync' in row && row.afterSync && disk.unsynced.length > 0) disk.heldMessages.push(row)
     else if (row.kind === 'send') this.fleet.send(node.host, row)
   }
 
-  #persist (node: VirtualNode, disk: VirtualDisk, record: DiskRecord, sequence: number): void {
-    disk.unsynced.push(record)
+  #persist (node: VirtualNode, disk: VirtualDisk, row: PersistRequested): void {
+    disk.unsynced.push(row)
+    this.#scheduleSync(node, disk, this.syncMs)
+  }
+
+  #scheduleSync (node: VirtualNode, disk: VirtualDisk, afterMs: Millis): void {
     const generation = disk.generation
-    this.fleet.schedule(this.syncMs, () => {
+    this.fleet.schedule(afterMs, () => {
       if (disk.generation !== generation) return
-      disk.records.push(record)
-      disk.unsynced.shift()
-      node.inbox.push({ kind: 'persisted', sequence })
+      if (disk.isRefusing !== disk.isFull) {
+        disk.isRefusing = disk.isFull
+        node.inbox.push({ kind: 'disk', isRefusing: disk.isFull })
+      }
+      if (disk.isFull) {
+        this.#scheduleSync(node, disk, WRITE_RETRY_MS)
+        return
+      }
+      const oldest = disk.unsynced.shift()
+      if (oldest === undefined) return
+      disk.records.push(oldest.record)
+      node.inbox.push({ kind: 'persisted', sequence: oldest.sequence })
       if (disk.unsynced.length > 0) return
       const messages = disk.heldMessages
       disk.heldMessages = []
