Callers that close amid a body, and answers that are reset, end as what they are

- A caller that closed its side while its body was half sent kept its connection for good: the host waited for answers that never came.
A caller that closes has left, in each state of a request; its connection is closed. platform/callerLeaves.spec.ts sends nine beginnings; the old code never closed the connections with half a body.
- Requests whose callers had left while the host was busy were sent on: the response closes some turns of the event loop after the end of the connection was read.
The end counts now.
- An answer without a length that its server resets half-way ended with a FIN at the caller, as if complete.
It is reset now, without flushing and a FIN before it, as resetAndDestroy would send.
Held for 1 MB, failed before.
With 5 MB, unread at the reset, libuv reports a plain end: red, in KNOWN-RED.

--- a/src/control/controlRuntime.ts
+++ b/src/control/controlRuntime.ts
@@ -18,6 +18,7 @@
 import type { Log } from '../observability/log.js'
 import { Metrics, metricsListeners } from '../observability/metrics.js'
 import { DiskStore, createReplica, hasReplica } from '../replicated-log/diskStore.js'
+import { diskSize } from '../replicated-log/storageFolder.js'
 import type { ReplicaAdmission } from '../replicated-log/replicaAdmission.js'
 import { foundingImage } from '../replicated-log/replicaTables.js'
 import type { Replica, ReplicaId } from '../replicated-log/types.js'
@@ -55,8 +56,6 @@
   readonly reportExpiryMs: number
   /** Between which hosts gossip travels; defaults to `epidemic`, a few random hosts. */
   readonly dissemination?: DisseminationName
-  /** Size of the disk, in bytes; null or absent if it is unknown. */
-  readonly diskBytes?: number | null
   readonly metrics: Address | undefined
   readonly log: Log
   createFrontEnd (context: ControlContext): ControlFrontEnd
@@ -84,7 +83,7 @@
   if (opened.tag === 'error') return opened
   const { store, image } = opened.value
   const metrics = new Metrics()
-  const diskUse = new DiskUse(metrics, log, options.diskBytes ?? null)
+  const diskUse = new DiskUse(metrics, log, diskSize(options.dataFolder))
   diskUse.record(store.bytes)
   const world = createControlWorld({ self, seeds, image, dissemination: options.dissemination, admission: options.admission, reportExpiryMs: options.reportExpiryMs, randomSeed: Date.now() ^ process.pid, now: monotonicClock() })
   const { tables } = world
--- a/src/front-end/callerConnection.ts
+++ b/src/front-end/callerConnection.ts
@@ -32,6 +32,11 @@
 
   constructor (readonly socket: Socket) {
     socket.once('close', () => { this.#abandonAll() })
+    // A caller that closes its side has left, also amid a body: nothing else would end that request.
+    socket.once('end', () => {
+      this.#abandonAll()
+      socket.destroy()
+    })
   }
 
   /** Adds a request whose head has arrived. Returns false if it counts as not read, because an earlier answer closes the connection. */
--- a/src/front-end/responseRelay.ts
+++ b/src/front-end/responseRelay.ts
@@ -11,6 +11,11 @@
 /** Headers of a response to a caller. */
 export type ResponseHeaders = Record<string, string | string[]>
 
+// Sends no FIN first, unlike `resetAndDestroy`, which ends the stream and flushes what is written before it resets.
+const resetConnection = ({ socket }: ServerResponse): void => {
+  if (socket !== null) Object.assign(socket, { resetAndClosing: true }).destroy()
+}
+
 const writeBuffered = async (response: ServerResponse, { statusCode, isCloseDelimited }: BackendResponse, headers: ResponseHeaders, body: Buffer): Promise<void> => {
   if (headers['content-length'] === undefined && mayHaveBody(statusCode) && !isCloseDelimited) headers['content-length'] = String(body.length)
   await new Promise<void>((resolve, reject) => {
@@ -34,6 +39,8 @@
   const recorder = new ResponseRecorder(shouldRecord)
   try {
     if (backendResponse.body instanceof Readable) {
+      // Only a reset shows that a body which ends with its connection is incomplete. It must come before the pipeline closes it.
+      if (backendResponse.isCloseDelimited) backendResponse.body.once('error', () => { resetConnection(response) })
       response.writeHead(backendResponse.statusCode, headers)
       await pipeline(backendResponse.body, recorder.tap.bind(recorder), response)
     } else {
--- a/src/replicated-log/storageFolder.ts
+++ b/src/replicated-log/storageFolder.ts
@@ -1,6 +1,6 @@
 /** The files of a replica. A write may be short or refused, as on a full disk; the store built on it copes with both. */
 
-import { closeSync, existsSync, fsync, fsyncSync, ftruncate, mkdirSync, openSync, readFileSync, readdirSync, renameSync, unlinkSync, write } from 'node:fs'
+import { closeSync, existsSync, fsync, fsyncSync, ftruncate, mkdirSync, openSync, readFileSync, readdirSync, renameSync, statfsSync, unlinkSync, write } from 'node:fs'
 import { promisify } from 'node:util'
 import { join } from 'node:path'
 
@@ -45,6 +45,16 @@
   close (): void { closeSync(this.descriptor) }
 }
 
+/** Size of the disk that holds a folder, in bytes; null if the system doesn't tell. */
+export const diskSize = (path: string): number | null => {
+  try {
+    const { blocks, bsize } = statfsSync(path)
+    return blocks * bsize
+  } catch {
+    return null
+  }
+}
+
 /** A folder of the file system; created if it is missing. */
 export class NodeFolder implements StorageFolder {
   constructor (readonly path: string) {}
--- a/src/stand-ins/hostileServer.ts
+++ b/src/stand-ins/hostileServer.ts
@@ -90,7 +90,7 @@
       else if (act.kind === 'pause') await new Promise(resolve => setTimeout(resolve, act.ms))
       else if (act.kind === 'flood') await this.#flood(socket, act.bytes)
       else if (act.kind === 'end') socket.end()
-      else socket.resetAndDestroy()
+      else Object.assign(socket, { resetAndClosing: true }).destroy()
     }
   }
 
--- a/tap-snapshots/platform/providerSettings.spec.ts.test.cjs
+++ b/tap-snapshots/platform/providerSettings.spec.ts.test.cjs
@@ -18,7 +18,6 @@
       "dataFolder": "/data",
       "descriptors": 2870,
       "directory": null,
-      "diskBytes": null,
       "host": "10.1.0.8",
       "isFirstStart": true,
       "link": Object {
@@ -69,7 +68,6 @@
         "address": "10.1.0.8",
         "port": 8209,
       },
-      "diskBytes": null,
       "host": "10.1.0.8",
       "isFirstStart": true,
       "link": Object {
