A reset that comes while data is unread no longer ends an answer as if complete

A connection that was reset has no peer address any more, one that was ended has; that is asked at each end.

Ruled out: the reset of the caller's connection, which was not reached.

--- a/src/front-end/backendConnections.ts
+++ b/src/front-end/backendConnections.ts
@@ -71,6 +71,8 @@
     // These listeners run before those of undici, which may complete the response within the same event.
     socket.on('error', () => { this.#recordReset(origin) })
     socket.on('close', () => { if (!socket.readableEnded) this.#recordReset(origin) })
+    // A reset is reported as a plain end if it comes while data is unread. Only a reset connection has no other end any more.
+    socket.on('end', () => { if (socket.remoteAddress === undefined) this.#recordReset(origin) })
     const meter = new OverheadMeter()
     const read = socket.read.bind(socket)
     const unshift = socket.unshift.bind(socket)
