--- a/src/exchange/droppedService.spec.ts
+++ b/src/exchange/droppedService.spec.ts
@@ -54,7 +54,7 @@
     for (let n = 0; n < count; n += 1) this.entry.send(HOST, { service: 's', workspace: 'w', authority: 'a.example', path, timeoutMs: TIMEOUT_MS })
   }
 
-  /** Requests that got no answer in time, and refusals that claim not-run for requests that a server has begun. */
+  /** Requests without an answer, and with one that came too late. */
   faults (): { unanswered: number, late: number } {
     const late = this.entry.outcomes.filter(row => row.endedAt - row.sentAt > TIMEOUT_MS + ANSWER_SLACK_MS).length
     return { unanswered: this.entry.sentCount - this.entry.outcomes.length, late }
--- a/src/front-end/backendConnections.ts
+++ b/src/front-end/backendConnections.ts
@@ -7,12 +7,12 @@
 /** A close-delimited response counts as incomplete within this time after a connection to the same server was reset. */
 const RESET_WINDOW_MS = 1_000
 /** Bytes of one answer outside its body: interim responses, status line, headers, chunk framing and trailers. */
-export const MAX_OVERHEAD_BYTES = 64 * 1024
+const MAX_OVERHEAD_BYTES = 64 * 1024
 /** Bytes of chunk framing for each byte of the body; a chunk of one byte has five. */
 const MAX_FRAMING_PER_BODY_BYTE = 8
 
 /** An answer has more bytes around its body than any sound server sends. */
-export class OverheadError extends Error {
+class OverheadError extends Error {
   readonly code = 'ANSWER_OVERHEAD'
 
   constructor () { super('the answer has too many bytes outside its body') }
--- a/src/replicated-log/commitSystem.ts
+++ b/src/replicated-log/commitSystem.ts
@@ -23,12 +23,12 @@
 /** Number of applied entries after which a snapshot is taken. */
 export const SNAPSHOT_INTERVAL_ENTRIES = 1_000
 /** Estimated size of applied entries after which a snapshot is taken, however few they are: a plan may have a megabyte. */
-export const SNAPSHOT_INTERVAL_BYTES = 8 * 1024 * 1024
+const SNAPSHOT_INTERVAL_BYTES = 8 * 1024 * 1024
 /** Entries retained before a snapshot, so that replicas that lag slightly need no snapshot. */
 const RETAINED_ENTRIES = 256
 const RETAINED_BYTES = 2 * 1024 * 1024
 /** Estimated size of uncommitted entries from which the leader refuses commands: their senders repeat them while a quorum is slow. */
-export const MAX_UNCOMMITTED_BYTES = 16 * 1024 * 1024
+const MAX_UNCOMMITTED_BYTES = 16 * 1024 * 1024
 export const VOUCH_INTERVAL_MS: Millis = 1_000
 const VOUCH_RETRY_INTERVAL_MS: Millis = 100
 
--- a/src/replicated-log/electionSystem.ts
+++ b/src/replicated-log/electionSystem.ts
@@ -12,7 +12,7 @@
 type VoteReply = Extract<LogMessage, { kind: 'vote-reply' }>
 
 /** A leader whose disk refuses writes for this time hands over. */
-export const MAX_LEADING_WITHOUT_DISK_MS: Millis = 5_000
+const MAX_LEADING_WITHOUT_DISK_MS: Millis = 5_000
 
 const isLogCurrent = (tables: ReplicaTables, request: VoteRequest): boolean => {
   const { lastTerm, lastIndex } = tables.log
