Only a replica without a group introduces itself to hosts that are no replicas

A replica with a group knows its replicas; one without knows its leader by the leader's messages only.

--- a/src/replicated-log/introductionSystem.ts
+++ b/src/replicated-log/introductionSystem.ts
@@ -13,9 +13,11 @@
 type IntroductionTables = LogTables & MembershipTables & { readonly configuration: Configuration }
 type IntroductionTick = Tick<IntroductionTables, unknown, MessageSent<GossipMessage>>
 
-// A replica that is outside the group knows the leader by its messages; its seeds may all be lost.
-const unknownReplicas = (tables: IntroductionTables): Replica[] =>
-  [...otherReplicas(tables), ...tables.joining.rows()].filter(({ host }) => !tables.members.has(host))
+// A replica without a group knows the leader by its messages only; its seeds may all be lost.
+const knownReplicas = (tables: IntroductionTables): Replica[] =>
+  tables.replica.group.voters.length > 0 ? otherReplicas(tables) : [...tables.joining.rows()]
+
+const unknownReplicas = (tables: IntroductionTables): Replica[] => knownReplicas(tables).filter(({ host }) => !tables.members.has(host))
 
 /** Introduces this host to the replicas of its group that it doesn't know as members, until each has answered. */
 export class IntroductionSystem implements System<IntroductionTables, unknown, MessageSent<GossipMessage>> {
--- a/src/replicated-log/replacedVoters.spec.ts
+++ b/src/replicated-log/replacedVoters.spec.ts
@@ -133,6 +133,20 @@
   })
 }
 
+t.test('a member of the group does not go on introducing itself to a host that once asked to join and is forgotten', async t => {
+  const replaced = new ReplacedFleet({ seed: 32, replaced: [], isAtOnce: false, successorMs: 0, gapMs: 0, delayMs: 35 })
+  const leader = replaced.leader() as HostId
+  const forgotten = toId<HostId>('c9')
+  replaced.control.tables(leader).joining.put({ replica: toId('c9#1'), host: forgotten, link: { address: 'c9', port: 1 }, heardAt: replaced.fleet.now })
+  let sent = 0
+  replaced.fleet.network.isPartitioned = (_from, to) => {
+    if (to === forgotten) sent += 1
+    return false
+  }
+  replaced.fleet.runFor(5_000)
+  t.equal(sent, 0)
+})
+
 t.test('a voter that is silent for a while keeps its place as long as no new host has joined', async t => {
   const replaced = new ReplacedFleet({ seed: 31, replaced: [], isAtOnce: false, successorMs: 0, gapMs: 0, delayMs: 35 })
   const leader = replaced.leader() as HostId
