--- a/src/replicated-log/groupSystem.ts
+++ b/src/replicated-log/groupSystem.ts
@@ -20,7 +20,7 @@
 const ADMISSION_TIMEOUT_MS: Millis = 10_000
 const JOIN_REQUEST_INTERVAL_MS: Millis = 1_000
 /** Interval at which a starting replica looks for control hosts to ask. */
-const LONELY_RETRY_MS: Millis = 100
+const UNCONNECTED_RETRY_MS: Millis = 100
 
 type GroupTables = ReplicaTables & MembershipTables
 type GroupTick = Tick<GroupTables, LogInput, LogOutput>
@@ -100,7 +100,7 @@
   #requestJoin (tick: GroupTick): void {
     const { members, replica } = tick.tables
     const others = [...members.rows()].filter(({ member }) => member.role === 'control' && member.host !== replica.self.host)
-    this.#nextJoinAt = tick.now + (others.length > 0 ? JOIN_REQUEST_INTERVAL_MS : LONELY_RETRY_MS)
+    this.#nextJoinAt = tick.now + (others.length > 0 ? JOIN_REQUEST_INTERVAL_MS : UNCONNECTED_RETRY_MS)
     for (const { member } of others) {
       sendLogMessage(tick, { replica: replica.self.replica, host: member.host, link: member.link }, { kind: 'join', replica: replica.self }, false)
     }
--- a/src/replicated-log/replicaAdmission.ts
+++ b/src/replicated-log/replicaAdmission.ts
@@ -106,10 +106,10 @@
   #silentVoters ({ replica, followers, members }: ReplicaAdmissionTables, learner: Replica, now: Millis): Replica[] {
     const zone = members.get(learner.host)?.member.zone
     const ackedAt = (voter: Replica): Millis => followers.get(voter.replica)?.ackedRoundSentAt ?? now
-    const isElsewhere = (voter: Replica): number => members.get(voter.host)?.member.zone === zone ? 0 : 1
+    const zoneRank = (voter: Replica): number => members.get(voter.host)?.member.zone === zone ? 0 : 1
     return replica.group.voters
       .filter(voter => voter.replica !== replica.self.replica && now - ackedAt(voter) >= VOTER_SILENCE_MS)
-      .sort((a, b) => isElsewhere(a) - isElsewhere(b) || ackedAt(a) - ackedAt(b))
+      .sort((a, b) => zoneRank(a) - zoneRank(b) || ackedAt(a) - ackedAt(b))
   }
 
   #mayVote ({ replica, members }: ReplicaAdmissionTables, learner: Replica, replaces: Replica | null): boolean {
