--- a/src/stand-ins/changeSeries.ts
+++ b/src/stand-ins/changeSeries.ts
@@ -57,6 +57,9 @@
   watchedFrom: Millis = 0
   #changeCount = 0
   #sendCount = 0
+  /** The change that waits for its acknowledgement; null if there is none. */
+  #pending: PendingChange | null = null
+  #nextChangeAt: Millis = 0
 
   constructor (seed: number, hostsPerZone = 4) {
     this.fleet = new VirtualFleet(seed)
@@ -104,16 +107,14 @@
   /** Makes a change every `intervalMs` for a time; a change is sent again until a control host acknowledges it. */
   runFor (durationMs: Millis, intervalMs: Millis): void {
     const end = this.fleet.now + durationMs
-    let nextChangeAt = this.fleet.now
-    let pending: PendingChange | null = null
     while (this.fleet.now < end) {
-      if (pending === null && this.fleet.now >= nextChangeAt) {
+      if (this.#pending === null && this.fleet.now >= this.#nextChangeAt) {
         const envelope = this.#nextChange()
-        pending = { envelope, call: this.#send(envelope), sentAt: this.fleet.now }
-        nextChangeAt = this.fleet.now + intervalMs
+        this.#pending = { envelope, call: this.#send(envelope), sentAt: this.fleet.now }
+        this.#nextChangeAt = this.fleet.now + intervalMs
       }
       this.fleet.runFor(SAMPLE_MS)
-      pending = this.#settle(pending)
+      this.#pending = this.#settle(this.#pending)
       this.#sample()
     }
   }
