Control hosts log which replicas vote, learn and wait to be admitted

A leader's line names the admission in progress as well. No decision changes: the list of waiting replicas is the one that the policy reads.

--- a/src/beliefs/beliefSources.ts
+++ b/src/beliefs/beliefSources.ts
@@ -5,7 +5,8 @@
 import type { Configuration } from '../configuration/configurationTables.js'
 import type { Millis } from '../core/tick.js'
 import type { MembershipTables } from '../membership/types.js'
-import type { LogTables } from '../replicated-log/types.js'
+import { waitingReplicas } from '../replicated-log/replicaAdmission.js'
+import type { LogTables, Replica } from '../replicated-log/types.js'
 import type { Belief, BeliefKind } from './types.js'
 
 /** Time without a confirmed configuration after which a host counts as out of contact with the quorum. */
@@ -99,6 +100,29 @@
   }
 }
 
+const replicaNames = (replicas: readonly Replica[]): string => replicas.map(({ replica }) => replica).sort().join(' ')
+
+/** Reads which replicas vote, learn, and wait to be admitted, as this control host sees it. */
+export class GroupSource implements BeliefSource<Pick<LogTables, 'replica' | 'joining'>> {
+  readonly event = 'group'
+
+  get unloggedState (): null { return null }
+
+  revision (): null { return null }
+
+  * read (tables: Pick<LogTables, 'replica' | 'joining'>, now: Millis): Iterable<Belief> {
+    const { group: { voters, learners }, admission } = tables.replica
+    const facts = {
+      voters: replicaNames(voters),
+      learners: replicaNames(learners),
+      waiting: replicaNames(waitingReplicas(tables, now)),
+      admitting: admission?.replica.replica ?? null,
+      replaced: admission?.replaces?.replica ?? null
+    }
+    yield { event: 'group', subject: 'group', state: `${facts.voters}; ${facts.learners}; ${facts.waiting}`, facts }
+  }
+}
+
 /** Reads how many entry hosts a control host knows, to which it can send changes. */
 export class EntryHostSource implements BeliefSource<MembershipTables> {
   readonly event = 'entry-hosts'
--- a/src/beliefs/types.ts
+++ b/src/beliefs/types.ts
@@ -4,7 +4,7 @@
 import type { JournalRow } from '../journal/journal.js'
 
 /** Journal events for changes of a belief. */
-export type BeliefKind = 'peer' | 'backend' | 'configuration' | 'quorum' | 'leader' | 'entry-hosts'
+export type BeliefKind = 'peer' | 'backend' | 'configuration' | 'quorum' | 'leader' | 'group' | 'entry-hosts'
 
 type BeliefEvent = Extract<JournalRow, { event: BeliefKind }>
 
--- a/src/control/controlWorld.ts
+++ b/src/control/controlWorld.ts
@@ -5,7 +5,7 @@
 import type { Millis, System, World } from '../core/tick.js'
 import type { KeyDigest } from '../core/id.js'
 import { createBackendTable } from '../announcement/announcementTopic.js'
-import { BackendSource, ConfigurationSource, EntryHostSource, LeaderSource, PeerSource, QuorumSource } from '../beliefs/beliefSources.js'
+import { BackendSource, ConfigurationSource, EntryHostSource, GroupSource, LeaderSource, PeerSource, QuorumSource } from '../beliefs/beliefSources.js'
 import { BeliefSystem, createBeliefs } from '../beliefs/beliefSystem.js'
 import { createConfiguration, installSnapshot } from '../configuration/configurationTables.js'
 import { RecentChanges } from '../configuration/recentChanges.js'
@@ -96,7 +96,7 @@
     new ReadSystem(),
     new ReplicationSendSystem(),
     new IntroductionSystem(),
-    new BeliefSystem<ControlTables>([new PeerSource(), new BackendSource(), new ConfigurationSource(), new QuorumSource(), new LeaderSource(), new EntryHostSource()]),
+    new BeliefSystem<ControlTables>([new PeerSource(), new BackendSource(), new ConfigurationSource(), new QuorumSource(), new LeaderSource(), new GroupSource(), new EntryHostSource()]),
     new ConfirmationSystem(dissemination),
     new ProbeSystem(dissemination),
     new SpreadSystem(dissemination)
--- a/src/journal/eventRegistry.ts
+++ b/src/journal/eventRegistry.ts
@@ -150,6 +150,20 @@
     facts: { ...BELIEF_FACTS, dead: 'known entry hosts that count as dead' },
     isLogged: true
   },
+  group: {
+    scope: 'belief',
+    meaning: 'other replicas vote, learn or wait to be admitted, as this control host sees it',
+    subject: '"group"',
+    facts: {
+      ...BELIEF_FACTS,
+      voters: 'replicas that vote, separated by spaces',
+      learners: 'replicas that receive entries and do not vote',
+      waiting: 'replicas outside the group that have asked this host to admit them within the last seconds',
+      admitting: 'learner that is about to become a voter; null if there is none, and on hosts that do not lead',
+      replaced: 'voter whose place it takes; null if there is none'
+    },
+    isLogged: true
+  },
   leader: {
     scope: 'belief',
     meaning: 'the leader of the control group changed',
--- a/src/replicated-log/replicaAdmission.ts
+++ b/src/replicated-log/replicaAdmission.ts
@@ -48,6 +48,17 @@
 
 const containsReplica = (list: readonly Replica[], replica: Replica): boolean => list.some(row => row.replica === replica.replica)
 
+/** Returns the replicas outside the group that have lately asked to join. */
+export const waitingReplicas = ({ joining, replica: { group } }: Pick<LogTables, 'joining' | 'replica'>, now: Millis): Replica[] => {
+  const waiting: Replica[] = []
+  for (const row of joining.rows()) {
+    const { replica, host, link } = row
+    if (now - row.heardAt > JOIN_REQUEST_TTL_MS || link.port === 0 || containsReplica(group.voters, row) || containsReplica(group.learners, row)) continue
+    waiting.push({ replica, host, link })
+  }
+  return waiting
+}
+
 const isAlive = (row: MemberRow | undefined): boolean => row !== undefined && (row.member.state === 'alive' || row.member.state === 'leaving')
 
 /**
@@ -59,14 +70,7 @@
   readonly name = 'automatic'
 
   newLearners (tables: ReplicaAdmissionTables, now: Millis): readonly Replica[] {
-    const { voters, learners } = tables.replica.group
-    const joiners: Replica[] = []
-    for (const row of tables.joining.rows()) {
-      const { replica, host, link } = row
-      if (now - row.heardAt > JOIN_REQUEST_TTL_MS || link.port === 0 || containsReplica(voters, row) || containsReplica(learners, row)) continue
-      if (isAlive(tables.members.get(host))) joiners.push({ replica, host, link })
-    }
-    return joiners
+    return waitingReplicas(tables, now).filter(({ host }) => isAlive(tables.members.get(host)))
   }
 
   nextVoter (tables: ReplicaAdmissionTables, now: Millis): Promotion | null {
