A host that is back with an empty disk is admitted on its own word, not on gossip's

Cause: the leader made a returning host a learner, and a learner a voter, only while its member table had the host as alive. A probe of the earlier process that timed out after the return marked the new one as suspect, then dead, and the refutation did not reach the leader. The host asked to join each second and replicated all entries; its lost replica stayed a voter, so the group needed four of six when it had three.

Change: a join request that the leader has heard within 3 s is enough for a learner, acknowledgements within 2 s for a voter. Gossip only has to know the host.

--- a/src/replicated-log/replicaAdmission.ts
+++ b/src/replicated-log/replicaAdmission.ts
@@ -2,7 +2,7 @@
 
 import type { HostId, ZoneId } from '../core/id.js'
 import type { Millis } from '../core/tick.js'
-import type { MemberRow, MembershipTables } from '../membership/types.js'
+import type { MembershipTables } from '../membership/types.js'
 import type { Group, LogTables, Replica } from './types.js'
 
 /** Tables that an admission policy reads. */
@@ -39,6 +39,8 @@
 const DEAD_VOTER_REMOVAL_DELAY_MS: Millis = 8_000
 /** A voter that has acknowledged nothing for this time may be replaced by a learner that has just joined. */
 const VOTER_SILENCE_MS: Millis = 1_000
+/** A learner that has acknowledged nothing for this time, several of its heartbeats, is not made a voter. */
+const LEARNER_SILENCE_MS: Millis = 2_000
 /** A learner that joined longer ago is no sign that a silent voter has been replaced. */
 const RECENT_JOIN_MS: Millis = 10_000
 /** No voter is removed from a group of this size: fewer voters do not tolerate the loss of two. */
@@ -59,7 +61,11 @@
   return waiting
 }
 
-const isAlive = (row: MemberRow | undefined): boolean => row !== undefined && (row.member.state === 'alive' || row.member.state === 'leaving')
+/** Whether a replica has lately acknowledged a message of the leader, or has just been added. */
+export const isAnswering = ({ followers }: Pick<LogTables, 'followers'>, { replica }: Replica, now: Millis): boolean => {
+  const follower = followers.get(replica)
+  return follower !== undefined && now - follower.ackedRoundSentAt < LEARNER_SILENCE_MS
+}
 
 /**
  * Admits control hosts that ask to join: all as learners, and up to MAX_VOTERS of them, spread over the availability zones, as
@@ -69,13 +75,14 @@
 export class AutomaticAdmission implements ReplicaAdmission {
   readonly name = 'automatic'
 
+  // What gossip believes of the host doesn't matter: it may still be about an earlier process, and the request is newer.
   newLearners (tables: ReplicaAdmissionTables, now: Millis): readonly Replica[] {
-    return waitingReplicas(tables, now).filter(({ host }) => isAlive(tables.members.get(host)))
+    return waitingReplicas(tables, now).filter(({ host }) => tables.members.has(host))
   }
 
   nextVoter (tables: ReplicaAdmissionTables, now: Millis): Promotion | null {
     for (const learner of tables.replica.group.learners) {
-      if (!isAlive(tables.members.get(learner.host))) continue
+      if (!isAnswering(tables, learner, now)) continue
       const promotion = this.#promotionOf(tables, learner, now)
       if (promotion !== null) return promotion
     }
