An admission that can't complete is abandoned at once, not after 10 s

Callers saw the same as with the fault before: no quorum for good after two disks were lost (RECOVER), an older configuration on entry hosts (CONFIG).

Cause: the leader carries out one admission at a time. One whose learner had lost its disk again, or had fallen silent, kept all others waiting for 10 s; a host counts as back after 4. Two further disks lost in that time left too few voters.

Change: an automatic admission ends when its learner has acknowledged nothing for 2 s or its host asks to join as another replica. The limit of 10 s stays for learners that answer and do not catch up.

--- a/src/replicated-log/groupSystem.ts
+++ b/src/replicated-log/groupSystem.ts
@@ -6,7 +6,7 @@
 import { NEVER } from '../core/tick.js'
 import type { Millis, System, Tick } from '../core/tick.js'
 import type { MembershipTables } from '../membership/types.js'
-import { withLearners, withoutVoter } from './replicaAdmission.js'
+import { isAnswering, waitingReplicas, withLearners, withoutVoter } from './replicaAdmission.js'
 import type { ReplicaAdmission } from './replicaAdmission.js'
 import { appendAsLeader, sendLogMessage } from './replicaSteps.js'
 import type { LogInput, LogOutput, ReplicaTables } from './replicaSteps.js'
@@ -67,8 +67,7 @@
   #decide (tick: GroupTick): void {
     this.#nextDecisionAt = tick.now + DECISION_INTERVAL_MS
     const { replica } = tick.tables
-    const { admission } = replica
-    if (admission !== null && admission.call === null && tick.now - admission.startedAt > ADMISSION_TIMEOUT_MS) replica.admission = null
+    if (replica.admission?.call === null && this.#cannotComplete(tick, replica.admission)) replica.admission = null
     if (replica.admission !== null || !this.#mayChangeGroup(tick.tables)) return
     const learners = this.admission.newLearners(tick.tables, tick.now)
     if (learners.length > 0) {
@@ -84,6 +83,12 @@
     if (lost !== null) appendAsLeader(tick, { kind: 'group', group: withoutVoter(replica.group, lost) })
   }
 
+  // A learner that has lost its disk again is none any more: its host asks to join as another replica. Others must not wait for it.
+  #cannotComplete ({ tables, now }: GroupTick, { replica, startedAt }: PendingAdmission): boolean {
+    const hasSuccessor = waitingReplicas(tables, now).some(waiting => waiting.host === replica.host)
+    return hasSuccessor || !isAnswering(tables, replica, now) || now - startedAt > ADMISSION_TIMEOUT_MS
+  }
+
   // A replica that was removed while it was offline still has the old group in its log; it can only observe that no leader
   // contacts it.
   #mayBeOutsideGroup (tables: GroupTables, now: Millis): boolean {
--- a/src/replicated-log/lostDisks.spec.ts
+++ b/src/replicated-log/lostDisks.spec.ts
@@ -67,12 +67,12 @@
   }
 }
 
-// Two disks are lost and all other hosts lose power, right after a change is confirmed.
-const checkFinalFault = (t: Test, what: string, lost: LostDisks): void => {
+// As many disks are lost as may be and all other hosts lose power, right after a change is confirmed.
+const checkFinalFault = (t: Test, what: string, lost: LostDisks, lostBefore: readonly HostId[] = []): void => {
   t.ok(lost.confirm('z', SYNCED_MS), `${what}: a change is confirmed before the final fault`)
   const [leader] = lost.control.leaders()
   const order = [...leader === undefined || lost.random.below(2) === 0 ? [] : [leader], ...lost.shuffled()]
-  const wiped = new Set([...new Set(order)].slice(0, 2))
+  const wiped = new Set([...lostBefore, ...new Set(order)].slice(0, 2))
   let backAt = 0
   for (const host of lost.control.hosts) backAt = Math.max(backAt, lost.lose(host, wiped.has(host), 500 + lost.random.below(2_000)))
   lost.fleet.runUntil(backAt)
@@ -102,3 +102,16 @@
     checkFinalFault(t, `disk lost twice, seed ${seed}, ${host}`, lost)
   }
 })
+
+t.test('a learner that has fallen silent keeps the next one waiting', async t => {
+  for (let seed = 1; seed <= RUNS; seed += 1) {
+    const lost = new LostDisks(seed * 2_000)
+    const [first, second] = lost.shuffled() as [HostId, HostId]
+    lost.fleet.runUntil(lost.lose(first, true, 300 + lost.random.below(500)))
+    lost.fleet.runFor(lost.random.below(1_500))
+    const node = lost.fleet.nodes.get(first)
+    if (node !== undefined) node.isFrozen = true
+    lost.fleet.runUntil(lost.lose(second, true, 300 + lost.random.below(500)) + SYNCED_MS)
+    checkFinalFault(t, `learner silent, seed ${seed}, ${first} before ${second}`, lost, [first])
+  }
+})
