An entry host that knows that it lacks changes asks the host that knows them

Callers saw: a route of an acknowledged version refused with 404 as an older version says (CONFIG), on entry hosts beside a control host that was cut off from the others.

Cause: an entry host that learns by a vouch that it lacks changes fetched them from the sender of the vouch only while gossip had that host as alive, and only once; then from control and entry hosts of its zone, again and again. Beside a control host that is cut off these lack the same changes, and that control host itself spreads the suspicion against all others. This lasted as long as the cut. A cause of its own: the group has a leader and a quorum meanwhile.

Ruled out: vouches that do not arrive (age below 1.3 s).

Change: the sender of the newest vouch is asked first and at every other try, whatever gossip says of it, and between these a member of the zone, the region and the fleet in turn.

--- a/src/gossip/dissemination.ts
+++ b/src/gossip/dissemination.ts
@@ -19,8 +19,8 @@
   unreachableTargets (tables: RumorTables): readonly Seed[]
   /** Seeds that are contacted along with the chosen host while this host has no members or no confirmed configuration. */
   joinTargets (tables: RumorTables): readonly Seed[]
-  /** Members of which one is asked for missing configuration changes. */
-  fetchTargets (tables: RumorTables): readonly Member[]
+  /** Members of which one is asked for missing configuration changes; `round` counts the ones asked before in vain. */
+  fetchTargets (tables: RumorTables, round: number): readonly Member[]
   /** Control hosts, or hosts that may know some, that are asked in turn for a vouch. */
   confirmationTargets (tables: RumorTables): readonly Seed[]
   /** Returns the function that gives the members to which each of the new rumors is sent. */
--- a/src/gossip/probeSystem.ts
+++ b/src/gossip/probeSystem.ts
@@ -8,6 +8,8 @@
 import type { GossipInput, GossipOutput, GossipTick } from './gossipSteps.js'
 import { memberTopic, mergeMember } from '../membership/memberTopic.js'
 import type { Dissemination } from './dissemination.js'
+import type { LogIndex } from '../configuration/types.js'
+import type { Member } from '../membership/types.js'
 import type { RumorTables } from '../membership/rumorTopic.js'
 import { spreadRumor } from '../membership/spreadRumor.js'
 import type { Address } from '../core/address.js'
@@ -35,6 +37,9 @@
 /** Probes members, marks unresponsive ones as suspect and then dead, and synchronizes with peers. */
 export class ProbeSystem implements System<RumorTables, GossipInput, GossipOutput> {
   readonly name = 'probe'
+  /** Fetches since the configuration last advanced, and its index at that time. */
+  #fetchCount = 0
+  #fetchedAfter: LogIndex = -1
 
   constructor (readonly dissemination: Dissemination) {}
 
@@ -109,9 +114,20 @@
     const { gossip, configuration } = tick.tables
     const newest = gossip.vouch?.index ?? 0
     gossip.fetchAt = newest > configuration.index ? tick.now + FETCH_RETRY_INTERVAL_MS : NEVER
-    const target = pick(tick.random, this.dissemination.fetchTargets(tick.tables))
-    // Should that host not answer, others are asked at the next try.
-    gossip.vouchedBy = null
+    if (configuration.index !== this.#fetchedAfter) this.#fetchCount = 0
+    this.#fetchedAfter = configuration.index
+    const target = this.#fetchTarget(tick)
+    this.#fetchCount += 1
     if (target !== undefined) sendTo(tick, target.host, target.link, { kind: 'fetch', after: configuration.index })
   }
+
+  // The host that sent the newest vouch has the changes or soon will, whatever others say of it. Should it not answer, hosts
+  // farther and farther away are asked in turn with it: those nearby may lack the same changes.
+  #fetchTarget ({ tables, random }: GossipTick): Member | undefined {
+    const { vouchedBy } = tables.gossip
+    const vouching = vouchedBy === null ? undefined : tables.members.get(vouchedBy)?.member
+    const round = Math.floor(this.#fetchCount / 2)
+    if (vouching !== undefined && this.#fetchCount % 2 === 0) return vouching
+    return pick(random, this.dissemination.fetchTargets(tables, round))
+  }
 }
--- a/src/gossip/tieredDissemination.ts
+++ b/src/gossip/tieredDissemination.ts
@@ -87,11 +87,10 @@
 
   joinTargets (): readonly Seed[] { return [] }
 
-  fetchTargets (tables: RumorTables): readonly Member[] {
+  fetchTargets (tables: RumorTables, round: number): readonly Member[] {
     const { zoneControls, zoneEntries, regionControls, regionEntries, controls } = this.#localities.read(tables)
-    const newest = tables.gossip.vouchedBy === null ? undefined : tables.members.get(tables.gossip.vouchedBy)?.member
-    if (newest !== undefined && isDependable(newest)) return [newest]
-    return firstNonEmpty([...zoneControls, ...zoneEntries], [...regionControls, ...regionEntries], controls, this.#anyPeers(tables))
+    const scopes = [[...zoneControls, ...zoneEntries], [...regionControls, ...regionEntries], controls].filter(scope => scope.length > 0)
+    return scopes[round % Math.max(1, scopes.length)] ?? this.#anyPeers(tables)
   }
 
   // The nearest first. Each host starts at another one of those that are equally near.
--- a/src/journal/eventRegistry.ts
+++ b/src/journal/eventRegistry.ts
@@ -140,7 +140,7 @@
     scope: 'belief',
     meaning: 'this host lost or regained contact with the quorum of control hosts',
     subject: '"quorum"',
-    facts: { ...BELIEF_FACTS, ageMs: 'time since a leader last confirmed the configuration of this host, in milliseconds; null if none has since the start', source: 'host that sent the newest confirmation; null on the leader, and after a fetch', vouchedIndex: 'index that the newest confirmation is about; null if there is none' },
+    facts: { ...BELIEF_FACTS, ageMs: 'time since a leader last confirmed the configuration of this host, in milliseconds; null if none has since the start', source: 'host that sent the newest confirmation; null on the leader', vouchedIndex: 'index that the newest confirmation is about; null if there is none' },
     isLogged: true
   },
   'entry-hosts': {
--- a/src/membership/types.ts
+++ b/src/membership/types.ts
@@ -115,7 +115,7 @@
   /** The newest vouch, and the local time at which its index was confirmed as the newest. */
   vouch: Vouch | null
   vouchedAt: Millis
-  /** The host that sent the newest vouch, which has the changes up to its index or soon will; null after a failed fetch. */
+  /** The host that sent the newest vouch, which has the changes up to its index or soon will; null before the first. */
   vouchedBy: HostId | null
   /** The host that sent the newest change or snapshot; null on control hosts, which have their own log. */
   configurationFrom: HostId | null
