A host that is back and takes part no longer counts as suspect or dead

Control hosts send no changes to an entry host that counts as dead, and the directory leaves it out; a learner was not made a voter.

Three causes: a probe that was sent to the earlier process of a host counted against its successor when it timed out; a host that is told of a suspicion spreads its refutation to all but the teller, so the one that doubts it did not hear of it; and messages of a host that counts as dead changed nothing, until an anti-entropy exchange, 5 s apart and with one peer each, corrected it.

Change: a probe names the epoch that it is about; whoever doubts a host that sends it messages tells it so, at most once a second; the host answers the teller with its record.

--- a/src/control/controlWorld.ts
+++ b/src/control/controlWorld.ts
@@ -17,6 +17,7 @@
 import { ConfirmationSystem } from '../gossip/confirmationSystem.js'
 import { GossipReceiveSystem } from '../gossip/gossipReceiveSystem.js'
 import { ProbeSystem } from '../gossip/probeSystem.js'
+import { RefutationSystem } from '../gossip/refutationSystem.js'
 import { createDissemination } from '../gossip/disseminationRegistry.js'
 import type { DisseminationName } from '../gossip/disseminationRegistry.js'
 import { SpreadSystem } from '../gossip/spreadSystem.js'
@@ -86,6 +87,7 @@
   const systems = [
     new StallSystem(),
     new GossipReceiveSystem(dissemination),
+    new RefutationSystem(),
     new ReportSystem(),
     new AnnouncementSystem(options.reportExpiryMs ?? ANNOUNCEMENT_EXPIRY_MS, true),
     new LookupSystem(),
--- a/src/entry/entryWorld.ts
+++ b/src/entry/entryWorld.ts
@@ -44,6 +44,7 @@
 import { ConfirmationSystem } from '../gossip/confirmationSystem.js'
 import { GossipReceiveSystem } from '../gossip/gossipReceiveSystem.js'
 import { ProbeSystem } from '../gossip/probeSystem.js'
+import { RefutationSystem } from '../gossip/refutationSystem.js'
 import { createDissemination } from '../gossip/disseminationRegistry.js'
 import type { DisseminationName } from '../gossip/disseminationRegistry.js'
 import { SpreadSystem } from '../gossip/spreadSystem.js'
@@ -148,6 +149,7 @@
   const systems: Array<System<EntryTables, EntryInput, EntryOutput>> = [
     new StallSystem(),
     new GossipReceiveSystem(dissemination),
+    new RefutationSystem(),
     new AnnouncementSystem(),
     new WarmupSystem(),
     new LookupSystem(),
--- a/src/gossip/gossipSteps.ts
+++ b/src/gossip/gossipSteps.ts
@@ -18,11 +18,17 @@
 export type GossipOutput = MessageSent<GossipMessage> | LinkDropped
 export type GossipTick = Tick<RumorTables, GossipInput, GossipOutput>
 
+const doubts = (rumor: Rumor, host: HostId): boolean =>
+  rumor.topic === 'member' && rumor.member.host === host && (rumor.member.state === 'suspect' || rumor.member.state === 'dead')
+
 /** Merges rumors from a host into the tables and queues those that changed something for further spreading. */
 export const mergeRumors = (tick: GossipTick, rumors: readonly Rumor[], from: HostId): void => {
   for (const rumor of rumors) {
     const topic = topicOf(rumor)
     if (topic.merge(tick, rumor, from)) spreadRumor(tick, topic, topic.current?.(tick.tables, rumor) ?? rumor, from)
+    // Rumors are not spread back to where they came from, so the host that doubts this one is answered here.
+    const { self } = tick.tables.gossip
+    if (doubts(rumor, self.host)) sendReply(tick, from, { kind: 'rumors', rumors: [{ topic: 'member', member: self }] })
   }
 }
 
--- a/src/gossip/probeSystem.ts
+++ b/src/gossip/probeSystem.ts
@@ -61,6 +61,8 @@
     for (const probe of [...tick.tables.probes.rows()]) {
       if (tick.now - probe.sentAt < PROBE_TIMEOUT_MS) continue
       tick.tables.probes.remove(probe.host)
+      // The probe went to an earlier process of the host.
+      if (tick.tables.members.get(probe.host)?.member.epoch !== probe.epoch) continue
       tick.emit({ kind: 'drop-link', to: probe.host })
       setMemberState(tick, probe.host, 'suspect')
     }
@@ -81,7 +83,7 @@
     gossip.sequence += 1
     const target = pick(tick.random, this.dissemination.probeTargets(tick.tables, gossip.sequence))
     if (target === undefined || probes.has(target.host)) return
-    probes.put({ host: target.host, sequence: gossip.sequence, sentAt: tick.now })
+    probes.put({ host: target.host, epoch: target.epoch, sequence: gossip.sequence, sentAt: tick.now })
     sendTo(tick, target.host, target.link, { kind: 'probe', sequence: gossip.sequence, index: configuration.index, rumors: takePendingRumors(tick) })
   }
 
--- a/src/membership/types.ts
+++ b/src/membership/types.ts
@@ -89,6 +89,8 @@
 /** A probe without a reply so far. */
 export interface ProbeRow {
   readonly host: HostId
+  /** Epoch of the process that was probed. */
+  readonly epoch: number
   readonly sequence: number
   readonly sentAt: Millis
 }
--- a/tap-snapshots/src/beliefs/beliefSystem.spec.ts.test.cjs
+++ b/tap-snapshots/src/beliefs/beliefSystem.spec.ts.test.cjs
@@ -17,10 +17,10 @@
   ],
   "follower": "a",
   "joined": Array [
-    "leader leader: none -> b",
-    "quorum quorum: out of touch -> in touch",
     "peer b: dead -> alive",
     "peer c: dead -> alive",
+    "leader leader: none -> b",
+    "quorum quorum: out of touch -> in touch",
   ],
   "leader": "b",
 }
