--- a/src/replicated-log/replicationSystem.ts
+++ b/src/replicated-log/replicationSystem.ts
@@ -177,14 +177,17 @@
     }
     const { snapshot } = message
     if (snapshot.index > replica.commit) {
+      // Entries behind the same last one may be committed, and this replica may have acknowledged them.
+      const kept = log.termAt(snapshot.index) === snapshot.term ? log.rows().filter(entry => entry.index > snapshot.index) : []
       log.reset(snapshot.index, snapshot.term)
+      for (const entry of kept) log.append(entry)
       replica.unsynced.clear()
       replica.syncedIndex = 0
       replica.snapshot = snapshot
       replica.commit = snapshot.index
       installSnapshot(configuration, snapshot.configuration)
       refreshGroup(tick.tables)
-      persist(tick, { kind: 'snapshot', snapshot, kept: [] })
+      persist(tick, { kind: 'snapshot', snapshot, kept })
     }
     this.#reply(tick, from, message.round, true, Math.max(snapshot.index, replica.commit))
   }
