--- a/src/gossip/gossipReceiveSystem.ts
+++ b/src/gossip/gossipReceiveSystem.ts
@@ -43,7 +43,8 @@
   const { configuration, recentChanges } = tick.tables
   if (after >= configuration.index) return
   const changes = recentChanges.after(after)
-  const message: GossipMessage = changes === null
+  // The changes that are kept may end before the newest, if that came by a snapshot.
+  const message: GossipMessage = changes?.at(-1)?.index !== configuration.index
     ? { kind: 'snapshot', snapshot: snapshotWithoutDocument(takeSnapshot(configuration)) }
     : { kind: 'changes', changes }
   sendReply(tick, to, message)
