A host without a recent confirmation refuses what it doesn't know for now, not for good

With no quorum, or with a lag of whatever cause, an entry host answered 404 and 401 from a configuration that had not been confirmed for seconds: a status that callers don't come back after, though a newer version may have the route or the key.

Change: a refusal that a newer configuration may overturn (route or service unknown, key missing or unknown) is given only if a leader has confirmed the configuration within the last 2 s; older, it is 503 configuration-stale with Retry-After and other hosts. What the configuration knows is served as before.

unconfirmedRefusal.spec.ts: route-unknown 6 s after the last control host had stopped before, configuration-stale from 2 s on now.

--- a/src/exchange/requestSystem.ts
+++ b/src/exchange/requestSystem.ts
@@ -45,15 +45,28 @@
 const deadlineOf = (request: RequestReceived, timeoutMs: Millis, now: Millis): Millis =>
   now - (request.waitedMs ?? 0) + Math.min(request.timeoutMs ?? timeoutMs, timeoutMs)
 
+/** Age of the last confirmation from which on a newer configuration may have been acknowledged without this host's knowledge. */
+export const MAX_CONFIRMATION_AGE_MS: Millis = 2_000
+
+/** Refusals for good that a newer configuration may overturn: it may have the route, the service or the key. */
+const OVERTURNABLE_REASONS: ReadonlySet<RefusalReason> = new Set<RefusalReason>(['route-unknown', 'service-unknown', 'key-missing', 'key-unknown'])
+
+// A caller that is refused for good doesn't come back, so a host that may lack the newest configuration refuses for now.
+const unlessOverturned = ({ gossip }: RequestTables, reason: RefusalReason, now: Millis): RefusalReason => {
+  if (!OVERTURNABLE_REASONS.has(reason)) return reason
+  if (gossip.confirmedAt === null) return 'configuration-not-loaded'
+  return now - gossip.confirmedAt > MAX_CONFIRMATION_AGE_MS ? 'configuration-stale' : reason
+}
+
 /** Returns the accepted request with its constraints, or the reason to refuse it. */
 export const checkRequest = (tick: Pick<RequestTick, 'tables' | 'random' | 'now'>, request: RequestReceived): AdmittedRequest | RefusalReason => {
   const { tables, random, now } = tick
   if (!isServing(tables.lifecycle, now)) return 'stopping'
   if (isDecisionLate(request, now)) return 'overloaded'
   const destination = findDestination(tables.configuration, random, request)
-  if (typeof destination === 'string') return tables.gossip.confirmedAt === null ? 'configuration-not-loaded' : destination
+  if (typeof destination === 'string') return unlessOverturned(tables, destination, now)
   const workspace = checkWorkspace(tables, destination, request, now)
-  if (typeof workspace === 'string') return workspace
+  if (typeof workspace === 'string') return unlessOverturned(tables, workspace, now)
   const constraints = findConstraints(destination, workspace, request)
   if (typeof constraints === 'string') return constraints
   // Whoever stops this host kills it then, and a request cut off by that may not be repeated. Another host can take it now.
