An answer without a length that ends while its caller is slow no longer ends the process

Seen once, in platform/callerLeaves.spec.ts beside load: an uncaught assertion of the HTTP client (assert(!this.paused)), which ends an entry host, and with it the requests of all its callers. Traced, not rerun till green.

Cause: the client library completes an answer without a length when its connection ends, and asserts that its parser is not paused; it is, whenever the caller of an answer above 256 KB reads slower than its server sends. The same for a reset.

Change: when a connection ends, its parser is resumed before the library sees the end, and no longer paused. After a reset it can't be resumed; the error is then passed on under another code, so that the answer fails and is cut.

attemptClient.spec.ts, ten ways (five lengths, ended and reset): the first one ended the test's process before.

--- a/src/front-end/attemptClient.spec.ts
+++ b/src/front-end/attemptClient.spec.ts
@@ -147,3 +147,32 @@
   t.equal(lengthOf(await send(client, endless, { timeoutMs: LONG_TIMEOUT_MS })), bytes)
   for (let n = 0; n < 20; n += 1) t.equal(lengthOf(await send(client, manyAnswers, { timeoutMs: LONG_TIMEOUT_MS })), 1, 'each answer on a kept connection is counted anew')
 })
+
+// Guards against a process that ends because a connection does while the caller of its answer is slow.
+t.test('an answer without a length ends while its caller does not read', async t => {
+  const client = new AttemptClient()
+  t.teardown(async () => { await client.close() })
+  const ends: ReadonlyArray<readonly [string, (socket: Socket) => void, string]> = [
+    ['is ended', socket => { socket.end() }, 'whole'],
+    ['is reset', socket => { socket.resetAndDestroy() }, 'cut']
+  ]
+  for (const [what, end, expected] of ends) {
+    for (const bytes of [258, 262, 270, 290, 310].map(kilobytes => kilobytes * 1_024)) {
+      const origin = await serve(t, socket => {
+        socket.write(`${HEAD}connection: close\r\n\r\n${'.'.repeat(bytes)}`)
+        setTimeout(() => { end(socket) }, 100)
+      })
+      const { body } = await client.send({ origin, path: '/', method: 'GET', headers: {}, body: null, isIdempotent: true, mayKeepConnection: true, timeoutMs: 5_000 }).response
+      await new Promise(resolve => setTimeout(resolve, 250))
+      let received = 0
+      let outcome = 'whole'
+      try {
+        for await (const chunk of body as Readable) received += (chunk as Buffer).length
+      } catch {
+        outcome = 'cut'
+      }
+      t.equal(outcome, expected, `a slow caller, ${bytes} bytes, then the connection ${what}`)
+      if (expected === 'whole') t.equal(received, bytes)
+    }
+  }
+})
--- a/src/front-end/attemptClient.ts
+++ b/src/front-end/attemptClient.ts
@@ -138,6 +138,10 @@
 
   onData (chunk: Buffer): boolean {
     this.connections.countBody(chunk.length)
+    return this.#take(chunk) || !this.connections.pauseAnswer(this.#resume)
+  }
+
+  #take (chunk: Buffer): boolean {
     if (this.#stream !== null) return this.#stream.push(chunk)
     this.#chunks.push(chunk)
     this.#bytes += chunk.length
--- a/src/front-end/backendConnections.ts
+++ b/src/front-end/backendConnections.ts
@@ -38,12 +38,20 @@
   }
 }
 
+/** A connection to a backend server. */
+interface WatchedConnection {
+  readonly meter: OverheadMeter
+  /** Resumes the parser if it is paused; null if it never was during the present answer. */
+  resumeParser: (() => void) | null
+  hasEnded: boolean
+}
+
 /** The connections of a client to backend servers. */
 export class BackendConnections {
   readonly #resets = new Map<string, number>()
   readonly #connector = buildConnector({ timeout: CONNECT_TIMEOUT_MS })
-  /** The meter of the connection that is being read: undici parses what it reads before it reads again. */
-  #reading: OverheadMeter | null = null
+  /** The connection that is being read: undici parses what it reads before it reads again. */
+  #reading: WatchedConnection | null = null
 
   readonly connect: buildConnector.connector = (options, callback) => {
     const origin = `http://${options.hostname}:${options.port}`
@@ -62,23 +70,45 @@
   }
 
   /** Counts bytes of a body, which undici reports while it parses what it has read. */
-  countBody (bytes: number): void { this.#reading?.countBody(bytes) }
+  countBody (bytes: number): void { this.#reading?.meter.countBody(bytes) }
+
+  /** Whether the parser of the connection that is being read may be paused; if so, notes how it is resumed. */
+  pauseAnswer (resumeParser: () => void): boolean {
+    if (this.#reading === null || this.#reading.hasEnded) return false
+    this.#reading.resumeParser = resumeParser
+    return true
+  }
 
   /** Starts to count anew for the next answer on the connection that is being read. */
-  endAnswer (): void { this.#reading?.startAnswer() }
+  endAnswer (): void {
+    if (this.#reading === null) return
+    this.#reading.meter.startAnswer()
+    this.#reading.resumeParser = null
+  }
 
   #watch (socket: Socket, origin: string): void {
-    // These listeners run before those of undici, which may complete the response within the same event.
-    socket.on('error', () => { this.#recordReset(origin) })
-    socket.on('close', () => { if (!socket.readableEnded) this.#recordReset(origin) })
-    // A reset is reported as a plain end if it comes while data is unread. Only a reset connection has no other end any more.
-    socket.on('end', () => { if (socket.remoteAddress === undefined) this.#recordReset(origin) })
     const meter = new OverheadMeter()
+    const connection: WatchedConnection = { meter, resumeParser: null, hasEnded: false }
+    // These listeners run before those of undici, which may complete the response within the same event and then throws if its
+    // parser is paused. Nothing more arrives, so the parser may as well go on.
+    const onEnd = (wasReset: boolean): void => {
+      if (wasReset) this.#recordReset(origin)
+      connection.hasEnded = true
+      connection.resumeParser?.()
+    }
+    socket.on('error', (error: NodeJS.ErrnoException) => {
+      // undici takes a reset for the end of an answer without a length, and its parser can't be resumed any more.
+      if (connection.resumeParser !== null && error.code === 'ECONNRESET') error.code = 'UND_ERR_SOCKET'
+      onEnd(true)
+    })
+    socket.on('close', () => { onEnd(!socket.readableEnded) })
+    // A reset is reported as a plain end if it comes while data is unread. Only a reset connection has no other end any more.
+    socket.on('end', () => { onEnd(socket.remoteAddress === undefined) })
     const read = socket.read.bind(socket)
     const unshift = socket.unshift.bind(socket)
     socket.read = (size?: number): Buffer | null => {
       const chunk = read(size) as Buffer | null
-      this.#reading = meter
+      this.#reading = connection
       if (chunk === null) return null
       meter.countRead(chunk.length)
       if (!meter.isExceeded) return chunk
