--- a/src/exchange/requestSystem.ts
+++ b/src/exchange/requestSystem.ts
@@ -46,7 +46,7 @@
   now - (request.waitedMs ?? 0) + Math.min(request.timeoutMs ?? timeoutMs, timeoutMs)
 
 /** Age of the last confirmation from which on a newer configuration may have been acknowledged without this host's knowledge. */
-export const MAX_CONFIRMATION_AGE_MS: Millis = 2_000
+const MAX_CONFIRMATION_AGE_MS: Millis = 2_000
 
 /** Refusals for good that a newer configuration may overturn: it may have the route, the service or the key. */
 const OVERTURNABLE_REASONS: ReadonlySet<RefusalReason> = new Set<RefusalReason>(['route-unknown', 'service-unknown', 'key-missing', 'key-unknown'])
