A host that asks to join introduces itself to those that it asks

Cause: the leader admits only hosts that gossip knows, and the rumor about a new one is sent once and not repeated; a leader that missed it learns of the host by an exchange with the right peer. The host asked each second meanwhile. Ruled out: an admission in progress, an uncommitted change of the group (the other successor was admitted meanwhile).

Change: each join request comes with an introduction over the same link.

--- a/src/replicated-log/groupSystem.ts
+++ b/src/replicated-log/groupSystem.ts
@@ -5,7 +5,8 @@
 
 import { NEVER } from '../core/tick.js'
 import type { Millis, System, Tick } from '../core/tick.js'
-import type { MembershipTables } from '../membership/types.js'
+import { introduce } from '../gossip/gossipSteps.js'
+import type { GossipMessage, MembershipTables, MessageSent } from '../membership/types.js'
 import { isAnswering, waitingReplicas, withLearners, withoutVoter } from './replicaAdmission.js'
 import type { ReplicaAdmission } from './replicaAdmission.js'
 import { appendAsLeader, sendLogMessage } from './replicaSteps.js'
@@ -23,7 +24,8 @@
 const UNCONNECTED_RETRY_MS: Millis = 100
 
 type GroupTables = ReplicaTables & MembershipTables
-type GroupTick = Tick<GroupTables, LogInput, LogOutput>
+type GroupOutput = LogOutput | MessageSent<GossipMessage>
+type GroupTick = Tick<GroupTables, LogInput, GroupOutput>
 
 const containsReplica = (list: readonly Replica[], replica: Replica): boolean => list.some(row => row.replica === replica.replica)
 
@@ -41,7 +43,7 @@
 }
 
 /** Carries out changes of the group, one at a time. */
-export class GroupSystem implements System<GroupTables, LogInput, LogOutput> {
+export class GroupSystem implements System<GroupTables, LogInput, GroupOutput> {
   readonly name = 'group'
   #nextJoinAt: Millis = 0
   #nextDecisionAt: Millis = 0
@@ -107,6 +109,8 @@
     const others = [...members.rows()].filter(({ member }) => member.role === 'control' && member.host !== replica.self.host)
     this.#nextJoinAt = tick.now + (others.length > 0 ? JOIN_REQUEST_INTERVAL_MS : UNCONNECTED_RETRY_MS)
     for (const { member } of others) {
+      // The leader has to know a host that it admits, and rumors about this one may not have reached it.
+      introduce(tick, member)
       sendLogMessage(tick, { replica: replica.self.replica, host: member.host, link: member.link }, { kind: 'join', replica: replica.self }, false)
     }
   }
--- a/src/replicated-log/lostDisks.spec.ts
+++ b/src/replicated-log/lostDisks.spec.ts
@@ -115,3 +115,18 @@
     checkFinalFault(t, `learner silent, seed ${seed}, ${first} before ${second}`, lost, [first])
   }
 })
+
+// Guards against a successor at a new address that asks to join again and again while the leader knows it by no rumor.
+t.test('a host that joins is admitted although the leader has missed the rumors about it', async t => {
+  for (let seed = 1; seed <= RUNS; seed += 1) {
+    const { fleet, control } = new LostDisks(seed * 3_000)
+    const [leader] = control.leaders()
+    const joiner = toId<HostId>(`${['n1', 'm2', 's1'][seed % 3] ?? 'n1'}-x`)
+    control.join(joiner)
+    const reachedAt = fleet.now + 400
+    fleet.network.isPartitioned = (_from, to) => to === leader && fleet.now < reachedAt
+    fleet.runUntil(reachedAt + 2_500)
+    const { voters, learners } = control.tables(control.leaders()[0] ?? joiner).replica.group
+    t.ok([...voters, ...learners].some(({ host }) => host === joiner), `a joining host without rumors, seed ${seed}, ${joiner}`)
+  }
+})
