An answer with two Connection lines no longer ends the entry host

What callers saw: no answer, and the entry host ended with code 1, with every request in flight on it. Cause: headers of a backend server that come more than once are kept as a list, and the names that a Connection line lists were read as if it were always one text. The error was a rejection that nobody handled. Ruled out: callers' requests, whose repeated lines Node.js joins; names of Object's prototype as header names, which held.

--- a/src/front-end/callerHeaders.ts
+++ b/src/front-end/callerHeaders.ts
@@ -10,10 +10,11 @@
 const RESERVED_PREFIX = 'rhubarbseam-'
 const KEY_HEADERS: ReadonlySet<string> = new Set(['authorization', 'x-api-key'])
 
-const connectionOptions = (headers: IncomingHttpHeaders): ReadonlySet<string> => {
-  const value = headers.connection
-  return new Set((value ?? '').split(',').map(name => name.trim().toLowerCase()))
-}
+// The lines of a header that was sent more than once, in one list.
+const listOf = (value: string | string[] | undefined): string => Array.isArray(value) ? value.join(',') : value ?? ''
+
+const connectionOptions = ({ connection }: Record<string, string | string[] | undefined>): ReadonlySet<string> =>
+  new Set(listOf(connection).split(',').map(name => name.trim().toLowerCase()))
 
 /** Returns the caller's API key from `Authorization: Bearer KEY`; null when there is none. */
 export const findKey = (headers: IncomingHttpHeaders): string | null => {
