A request line that is no valid URL no longer ends a process at its metrics address

What callers saw: `GET // HTTP/1.1` (also `////`, `http://`, `http://[`, `http://a:99999/`) to the metrics address, open on every host of both roles, ended the process: exit 1, no key and no body needed.

Cause: the handler parsed the request line with `new URL`, which throws on these; nothing stands between a handler and the process.

Why it works: `parseUrl`, which the look-up and control listeners used already, returns null for what is no URL, which is then an unknown path. It moves to src/process, below all that listen. The look-up of the product's own protocol uses it as well; there the path is known by then, so no input was found that reaches the throw.

--- a/src/front-end/jsonBody.ts
+++ b/src/front-end/jsonBody.ts
@@ -35,12 +35,6 @@
   return `${issue?.path.join('.') ?? ''}: ${issue?.message ?? ''}`
 }
 
-/** Parses a request's URL; null when it is invalid. */
-export const parseUrl = (request: IncomingMessage): URL | null => {
-  const text = request.url ?? ''
-  return URL.canParse(text, 'http://localhost') ? new URL(text, 'http://localhost') : null
-}
-
 /** Reads a body as JSON; undefined when it is longer than `limit` bytes, incomplete or invalid. */
 export const readJson = async (request: IncomingMessage, limit: number): Promise<unknown> => {
   const text = await readText(request, limit)
--- a/src/front-end/lookupServer.ts
+++ b/src/front-end/lookupServer.ts
@@ -7,8 +7,9 @@
 import type { LookupAnswered, LookupId, LookupReceived, Place, RankedHost } from '../lookup/types.js'
 import type { Address } from '../core/address.js'
 import type { Metrics } from '../observability/metrics.js'
-import { parseUrl, sendJson } from './jsonBody.js'
 import { listenOn } from '../process/listen.js'
+import { parseUrl } from '../process/requestUrl.js'
+import { sendJson } from './jsonBody.js'
 
 /** A request to this server after parsing. */
 export type LookupServerRequest =
--- a/src/front-end/serviceProtocol.ts
+++ b/src/front-end/serviceProtocol.ts
@@ -9,6 +9,7 @@
 import type { LookupAnswered } from '../lookup/types.js'
 import { findKey, forwardResponseHeaders, forwardRequestHeaders, redactKey } from './callerHeaders.js'
 import type { ResponseHead, ResponseClass, CallerProtocol, ParsedRequest, CallerRequest, HeaderFields } from './callerProtocol.js'
+import { parseUrl } from '../process/requestUrl.js'
 import { sendJson } from './jsonBody.js'
 import { readServerNotice } from './serverNotice.js'
 import type { ServerNotice } from '../server-notice/types.js'
@@ -29,7 +30,7 @@
   parseRequest (request: IncomingMessage): ParsedRequest {
     const url = request.url ?? '/'
     const pathname = url.split('?', 1)[0] ?? url
-    if (pathname === LOOKUP_PATH) return this.#parseLookup(request, url)
+    if (pathname === LOOKUP_PATH) return this.#parseLookup(request)
     const match = SERVICE_PATH.exec(url)
     if (match?.[1] === undefined || match[2] === undefined) return { kind: 'malformed', status: 404, reason: 'path-unknown' }
     const key = findKey(request.headers)
@@ -47,8 +48,8 @@
     }
   }
 
-  #parseLookup (request: IncomingMessage, url: string): ParsedRequest {
-    const service = new URL(url, 'http://localhost').searchParams.get('service')
+  #parseLookup (request: IncomingMessage): ParsedRequest {
+    const service = parseUrl(request)?.searchParams.get('service') ?? null
     if (request.method !== 'GET' || service === null) return { kind: 'malformed', status: 400, reason: 'lookup-malformed' }
     return { kind: 'lookup', query: { service: toId<ServiceId>(service), client: parseIpv4Address(request.socket.remoteAddress ?? ''), place: null } }
   }
--- a/src/observability/metrics.ts
+++ b/src/observability/metrics.ts
@@ -6,6 +6,7 @@
 import type { MembershipTables } from '../membership/types.js'
 import type { Listener } from '../process/runningProcess.js'
 import { listenOn } from '../process/listen.js'
+import { parseUrl } from '../process/requestUrl.js'
 import type { Address } from '../core/address.js'
 
 const LATENCY_BUCKETS_SECONDS = [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10]
@@ -53,12 +54,12 @@
  */
 export const serveMetrics = async (metrics: Metrics, listen: Address, refresh: () => void, explain?: (subject: string | null) => unknown): Promise<Server> => {
   const server = createServer((request, response) => {
-    const url = new URL(request.url ?? '/', 'http://localhost')
-    if (url.pathname === '/explain' && explain !== undefined) {
+    const url = parseUrl(request)
+    if (url?.pathname === '/explain' && explain !== undefined) {
       response.writeHead(200, { 'content-type': 'application/json' }).end(JSON.stringify(explain(url.searchParams.get('subject'))))
       return
     }
-    if (url.pathname !== '/metrics') {
+    if (url?.pathname !== '/metrics') {
       response.writeHead(404).end()
       return
     }
