What a handler of a listener throws costs its request or connection, not the process

What callers saw: nothing stood between the handlers of a listener and the process. Any error in one, at once or in a rejected promise, in the answer of a tick, in a handshake or frame of a link, or in the head of a backend server's response, ended the process with exit 1 for all its callers. A third needs no handler at all: `listenOn` left its `reject` as the only listener for errors of the server, which took the first failed accept (for want of descriptors or memory) and let the second end the process.

Cause: seven modules opened seven servers, each with what it thought of.

Why it works: HttpListener is the only way to open a listener. It runs the handlers of requests, protocol switches and malformed input, and takes the 'error' events of request, response, upgraded socket and server. The parts that answer later run each step under the same guard. The request gets 500 without any header that was set for another status, so that no promise of `not run` is left on it; with the head out, its connection is closed. The tick learns that the caller is gone, so that it does not wait for it. One log line, rate-limited, and one counter, rhubarbseam_handler_faults_total.

Found beside it: /explain sent its head before its body was known; an answer to an operator whose connection had closed kept its timer.

Ruled out: containing by asynchronous context or in the handler of uncaught errors. The first costs each request, the second can't tell a request's error from one that leaves the state of the process in doubt.

--- a/src/control/controlProcess.ts
+++ b/src/control/controlProcess.ts
@@ -88,8 +88,8 @@
     reportExpiryMs: ANNOUNCEMENT_EXPIRY_MS,
     metrics: settings.metrics,
     log: createLog(settings.host, settings.log.level),
-    createFrontEnd: ({ tables, push }) => {
-      const server = new OperatorServer({ listen: settings.operators, operators: watchOperators(settings.operatorsFile, operators.value), tables, now: monotonicClock, push })
+    createFrontEnd: ({ tables, faults, push }) => {
+      const server = new OperatorServer({ listen: settings.operators, operators: watchOperators(settings.operatorsFile, operators.value), tables, faults, now: monotonicClock, push })
       return {
         listeners: [{ what: 'operators', address: settings.operators, listen: async () => await server.listen() }],
         deliver: row => { if (row.kind === 'proposal-answer') server.deliver(row) },
--- a/src/control/controlRuntime.ts
+++ b/src/control/controlRuntime.ts
@@ -16,12 +16,14 @@
 import type { Member, Seed } from '../membership/types.js'
 import { DiskUse } from '../observability/diskUse.js'
 import type { Log } from '../observability/log.js'
+import { HandlerFaults } from '../observability/handlerFaults.js'
 import { Metrics, metricsListeners } from '../observability/metrics.js'
 import { DiskStore, createReplica, hasReplica } from '../replicated-log/diskStore.js'
 import { diskSize } from '../replicated-log/storageFolder.js'
 import type { ReplicaAdmission } from '../replicated-log/replicaAdmission.js'
 import { foundingImage } from '../replicated-log/replicaTables.js'
 import type { Replica, ReplicaId } from '../replicated-log/types.js'
+import type { FaultLog } from '../process/containment.js'
 import type { SecretFile } from '../process/secretFile.js'
 import { ControlOutbox } from './controlOutbox.js'
 import { createControlWorld } from './controlWorld.js'
@@ -32,6 +34,7 @@
   readonly tables: ControlTables
   readonly metrics: Metrics
   readonly log: Log
+  readonly faults: FaultLog
   /** Queues a row for the next tick. */
   push (row: ControlInput): void
 }
@@ -83,6 +86,7 @@
   if (opened.tag === 'error') return opened
   const { store, image } = opened.value
   const metrics = new Metrics()
+  const faults = new HandlerFaults(metrics, log)
   const diskUse = new DiskUse(metrics, log, diskSize(options.dataFolder))
   diskUse.record(store.bytes)
   const world = createControlWorld({ self, seeds, image, dissemination: options.dissemination, admission: options.admission, reportExpiryMs: options.reportExpiryMs, randomSeed: Date.now() ^ process.pid, now: monotonicClock() })
@@ -99,10 +103,11 @@
     fleetKeys: options.fleetKeys,
     log,
     metrics,
+    faults,
     scopeOf: host => linkScope(tables, host),
     onMessage: (from, message) => { push({ kind: 'message', from, message: message as ControlMessage }) }
   })
-  const frontEnd = options.createFrontEnd({ tables, metrics, log, push })
+  const frontEnd = options.createFrontEnd({ tables, metrics, log, faults, push })
   const outbox = new ControlOutbox({
     write: async records => {
       const outcome = await store.write(records)
@@ -131,7 +136,7 @@
   const listening = await listenAll([
     { what: 'link', address: self.link, listen: async () => await hub.listen() },
     ...frontEnd.listeners,
-    ...metricsListeners(options.metrics, metrics, () => { metrics.updateFleetGauges(tables) })
+    ...metricsListeners(options.metrics, { metrics, faults, refresh: () => { metrics.updateFleetGauges(tables) } })
   ])
   if (listening.tag === 'error') return listening
   runner.start()
--- a/src/entry/entryProcess.ts
+++ b/src/entry/entryProcess.ts
@@ -47,10 +47,10 @@
 }
 
 const createFrontEnd = (settings: EntrySettings, announcementKeys: SecretFile, context: EntryContext): EntryFrontEnd => {
-  const { tables, metrics, tracing, push, isLeaving } = context
+  const { tables, metrics, faults, tracing, push, isLeaving } = context
   const { host, epoch } = tables.gossip.self
-  const callerServer = new CallerServer({ host: `${host}-${epoch.toString(36)}`, listen: settings.callers, protocol: new ServiceProtocol(), limits: settings.limits, metrics, tracing, push, isLeaving })
-  const announcementServer = new AnnouncementServer({ listen: settings.announcements, tokens: () => announcementKeys.lines(), metrics, push, peers: () => findAnnouncementPeers(tables) })
+  const callerServer = new CallerServer({ host: `${host}-${epoch.toString(36)}`, listen: settings.callers, protocol: new ServiceProtocol(), limits: settings.limits, metrics, faults, tracing, push, isLeaving })
+  const announcementServer = new AnnouncementServer({ listen: settings.announcements, tokens: () => announcementKeys.lines(), metrics, faults, push, peers: () => findAnnouncementPeers(tables) })
   return {
     listeners: [
       { what: 'callers', address: settings.callers, listen: async () => await callerServer.listen() },
--- a/src/entry/entryRuntime.ts
+++ b/src/entry/entryRuntime.ts
@@ -10,10 +10,12 @@
 import { linkScope } from '../membership/linkScope.js'
 import type { Member, Seed } from '../membership/types.js'
 import type { Log } from '../observability/log.js'
+import { HandlerFaults } from '../observability/handlerFaults.js'
 import { Metrics, metricsListeners } from '../observability/metrics.js'
 import type { Tracing } from '../observability/tracing.js'
 import type { DisseminationName } from '../gossip/disseminationRegistry.js'
 import { openRecorder } from '../journal/recorder.js'
+import type { FaultLog } from '../process/containment.js'
 import type { SecretFile } from '../process/secretFile.js'
 import { listenAll } from '../process/runningProcess.js'
 import type { Listener, RunningProcess, StartError } from '../process/runningProcess.js'
@@ -30,6 +32,7 @@
   readonly metrics: Metrics
   readonly tracing: Tracing | null
   readonly log: Log
+  readonly faults: FaultLog
   /** Queues a row for the next tick. */
   push (row: EntryInput): void
   /** Returns whether the process is shutting down; connections are then not kept alive. */
@@ -85,6 +88,7 @@
 export const runEntry = async (options: EntryRuntimeOptions): Promise<Outcome<RunningProcess, StartError>> => {
   const { self, seeds, log, tracing, policies } = options
   const metrics = new Metrics(options.hasRuntimeMetrics)
+  const faults = new HandlerFaults(metrics, log)
   const randomSeed = Date.now() ^ process.pid
   const start = { self, seeds, randomSeed, now: monotonicClock() }
   const world = createEntryWorld({ ...start, dissemination: options.dissemination, blocks: options.blocks, policies: createPolicies(policies) })
@@ -110,16 +114,17 @@
     fleetKeys: options.fleetKeys,
     log,
     metrics,
+    faults,
     scopeOf: host => linkScope(tables, host),
     onMessage: (from, message) => { push({ kind: 'message', from, message: message as EntryMessage }) }
   })
   const eventLog = new EventLog(log)
   tables.journal.onAppend = row => { eventLog.write(row) }
-  const frontEnd = options.createFrontEnd({ tables, metrics, tracing, log, push, isLeaving: () => tables.lifecycle.phase !== 'serving' })
+  const frontEnd = options.createFrontEnd({ tables, metrics, tracing, log, faults, push, isLeaving: () => tables.lifecycle.phase !== 'serving' })
   const listening = await listenAll([
     { what: 'link', address: self.link, listen: async () => await hub.listen() },
     ...frontEnd.listeners,
-    ...metricsListeners(options.metrics, metrics, () => { updateGauges(metrics, tables) }, subject => explain(tables, subject))
+    ...metricsListeners(options.metrics, { metrics, faults, refresh: () => { updateGauges(metrics, tables) }, explain: subject => explain(tables, subject) })
   ])
   if (listening.tag === 'error') return listening
   runner.start()
--- a/src/front-end/announcementServer.ts
+++ b/src/front-end/announcementServer.ts
@@ -1,12 +1,12 @@
 /** HTTP server for announcements of backend servers. They need a token, and the address announced is that of the connection. */
 
-import { createServer } from 'node:http'
-import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { IncomingMessage, ServerResponse } from 'node:http'
 import { createHash, timingSafeEqual } from 'node:crypto'
 import type { Announcement, AnnouncementReceived } from '../announcement/types.js'
 import type { Address } from '../core/address.js'
 import type { Metrics } from '../observability/metrics.js'
-import { listenOn } from '../process/listen.js'
+import type { FaultLog } from '../process/containment.js'
+import { HttpListener } from '../process/httpListener.js'
 import { readJson, sendJson } from './jsonBody.js'
 import { announcementBodySchema } from './messageSchema.js'
 
@@ -17,6 +17,7 @@
   /** Returns the accepted tokens. */
   readonly tokens: () => readonly string[]
   readonly metrics: Metrics
+  readonly faults: FaultLog
   readonly push: (row: AnnouncementReceived) => void
   /** Returns the addresses of the entry hosts in this zone. The response lists them, so that the server can announce itself to each. */
   readonly peers: () => readonly Address[]
@@ -34,19 +35,16 @@
 
 /** Serves `POST /v1/announcements`. */
 export class AnnouncementServer {
-  readonly #server: Server
+  readonly #listener: HttpListener
 
   constructor (readonly options: AnnouncementServerOptions) {
-    this.#server = createServer((request, response) => { void this.#handle(request, response) })
+    this.#listener = new HttpListener({ name: 'announcements', faults: options.faults, handle: async (request, response) => { await this.#handle(request, response) } })
   }
 
   /** Listens and returns the port; rejects when the address cannot be used. */
-  async listen (): Promise<number> { return await listenOn(this.#server, this.options.listen) }
+  async listen (): Promise<number> { return await this.#listener.listen(this.options.listen) }
 
-  close (): void {
-    this.#server.close()
-    this.#server.closeAllConnections()
-  }
+  close (): void { this.#listener.close() }
 
   async #handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
     if (request.method !== 'POST' || request.url !== '/v1/announcements') {
--- a/src/front-end/attemptRelay.ts
+++ b/src/front-end/attemptRelay.ts
@@ -5,6 +5,8 @@
 import type { EntryInput } from '../entry/types.js'
 import type { AttemptResult, AttemptStarted } from '../exchange/types.js'
 import type { Metrics } from '../observability/metrics.js'
+import { contain } from '../process/containment.js'
+import type { FaultLog } from '../process/containment.js'
 import { endSpan } from '../observability/tracing.js'
 import type { Tracing } from '../observability/tracing.js'
 import type { ServerNotice } from '../server-notice/types.js'
@@ -23,41 +25,52 @@
   readonly protocol: CallerProtocol
   readonly limits: BodyLimits
   readonly metrics: Metrics
+  readonly faults: FaultLog
   readonly tracing: Tracing | null
   readonly push: (row: EntryInput) => void
 }
 
+/** What relayed attempts need from the server of the callers. */
+export interface ExchangeAccess {
+  findExchange (id: ExchangeId): CallerExchange | undefined
+  /** Whether the connection of a caller is closed after a response. */
+  mustClose (exchange: CallerExchange): boolean
+  /** Ends an exchange whose handling has failed. */
+  fail (exchange: CallerExchange, error: unknown): void
+}
+
 /** Sends attempts and relays their responses. */
 export class AttemptRelay {
   readonly #client = new AttemptClient()
 
-  /** `mustClose` tells whether the connection of a caller is closed after a response. */
-  constructor (
-    readonly options: AttemptRelayOptions,
-    readonly findExchange: (id: ExchangeId) => CallerExchange | undefined,
-    readonly mustClose: (exchange: CallerExchange) => boolean
-  ) {}
+  constructor (readonly options: AttemptRelayOptions, readonly exchanges: ExchangeAccess) {}
 
   /** Closes all connections to backend servers. */
   async close (): Promise<void> { await this.#client.close() }
 
   /** Sends a request to a backend server. */
   start (row: AttemptStarted): void {
-    const exchange = this.findExchange(row.exchange)
+    const exchange = this.exchanges.findExchange(row.exchange)
     if (exchange === undefined) return
     const span = exchange.trace === null ? null : this.options.tracing?.startAttempt(exchange.trace, row) ?? null
     const handle = this.#client.send(this.#createAttemptRequest(exchange, row, span))
     exchange.running = { attempt: row.attempt, handle, backendResponse: null, keepsAnswer: row.keepsAnswer }
     handle.response.then(
-      backendResponse => { this.#handleResponse(exchange, row, backendResponse, span) },
+      backendResponse => { this.#guard(exchange, () => { this.#handleResponse(exchange, row, backendResponse, span) }) },
       (error: unknown) => {
-        const failure = classifyFailure(error)
-        if (span !== null) endSpan(span, failure.reason, true)
-        this.#reportResult(row, failure, null)
+        this.#guard(exchange, () => {
+          const failure = classifyFailure(error)
+          if (span !== null) endSpan(span, failure.reason, true)
+          this.#reportResult(row, failure, null)
+        })
       }
     )
   }
 
+  #guard (exchange: CallerExchange, step: () => unknown): void {
+    contain(step, error => { this.exchanges.fail(exchange, error) })
+  }
+
   #createAttemptRequest (exchange: CallerExchange, row: AttemptStarted, span: AttemptSpan): AttemptRequest {
     const { request, body, callerRequest, trace } = exchange
     const headers = this.options.protocol.attemptHeaders(request, callerRequest, row)
@@ -97,22 +110,22 @@
 
   /** Relays the response of an attempt to the caller. */
   relay (id: ExchangeId, attempt: AttemptId): void {
-    const exchange = this.findExchange(id)
+    const exchange = this.exchanges.findExchange(id)
     const backendResponse = exchange?.running?.attempt === attempt ? exchange.running.backendResponse : null
     if (exchange === undefined || backendResponse === null) return
-    void this.#streamResponse(exchange, attempt, backendResponse)
+    this.#guard(exchange, async () => { await this.#streamResponse(exchange, attempt, backendResponse) })
   }
 
   async #streamResponse (exchange: CallerExchange, attempt: AttemptId, backendResponse: BackendResponse): Promise<void> {
     const headers = this.options.protocol.responseHeaders(backendResponse.headers)
-    if (this.mustClose(exchange)) headers.connection = 'close'
+    if (this.exchanges.mustClose(exchange)) headers.connection = 'close'
     const result = await relayResponse(exchange.response, backendResponse, headers, exchange.running?.keepsAnswer === true)
     this.options.push({ kind: 'attempt', exchange: exchange.exchange, attempt, result })
   }
 
   /** Cancels an attempt and closes its connection. */
   abandon (id: ExchangeId, attempt: AttemptId): void {
-    const exchange = this.findExchange(id)
+    const exchange = this.exchanges.findExchange(id)
     if (exchange?.running?.attempt !== attempt) return
     exchange.running.handle.abort()
     exchange.running = null
--- a/src/front-end/callerExchange.ts
+++ b/src/front-end/callerExchange.ts
@@ -23,5 +23,7 @@
   readonly receivedAt: number
   /** Whether the request has been handed to the tick. */
   isStarted: boolean
+  /** Whether its handling has failed here, by an error that was contained. */
+  hasFailed: boolean
   running: { attempt: AttemptId, handle: RunningAttempt, backendResponse: BackendResponse | null, keepsAnswer: boolean } | null
 }
--- a/src/front-end/callerServer.ts
+++ b/src/front-end/callerServer.ts
@@ -1,7 +1,6 @@
 /** HTTP server for callers: converts requests to inbox rows, and outbox rows to attempts and responses. */
 
-import { createServer } from 'node:http'
-import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import { toId } from '../core/id.js'
 import type { ExchangeId } from '../core/id.js'
@@ -11,7 +10,8 @@
 import type { LookupAnswered, LookupId } from '../lookup/types.js'
 import { parseTicket } from '../idempotency/recordPlacement.js'
 import type { AnswerReplayed } from '../idempotency/types.js'
-import { listenOn } from '../process/listen.js'
+import { contain, guardResponse } from '../process/containment.js'
+import { HttpListener } from '../process/httpListener.js'
 import type { Address } from '../core/address.js'
 import { endSpan } from '../observability/tracing.js'
 import { AttemptRelay } from './attemptRelay.js'
@@ -25,6 +25,7 @@
 import type { BodyLimits } from './requestBody.js'
 import { SaturationLimit } from './saturationLimit.js'
 
+const LISTENER_NAME = 'callers'
 const HEADERS_TIMEOUT_MS = 5_000
 const REQUEST_TIMEOUT_MS = 120_000
 const KEEP_ALIVE_TIMEOUT_MS = 30_000
@@ -42,7 +43,7 @@
 
 /** Serves callers over HTTP. */
 export class CallerServer {
-  readonly #server: Server
+  readonly #listener: HttpListener
   readonly #attempts: AttemptRelay
   readonly #eventLoop = new EventLoopMonitor()
   readonly #saturationLimit = new SaturationLimit()
@@ -52,23 +53,38 @@
   #idCount = 0
 
   constructor (readonly options: CallerServerOptions) {
-    this.#attempts = new AttemptRelay(options, id => this.#exchanges.get(id), exchange => this.#mustClose(exchange))
-    this.#server = createServer({
-      maxHeaderSize: options.limits.headerBytes,
-      headersTimeout: HEADERS_TIMEOUT_MS,
-      requestTimeout: REQUEST_TIMEOUT_MS,
-      keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
-      requireHostHeader: true
-    }, (request, response) => { this.#route(request, response) })
-    this.#server.maxConnections = options.limits.connections
-    this.#server.on('clientError', (error, socket) => { this.#rejectMalformed(error as NodeJS.ErrnoException, socket as Socket) })
+    this.#attempts = new AttemptRelay(options, {
+      findExchange: id => this.#exchanges.get(id),
+      mustClose: exchange => this.#mustClose(exchange),
+      fail: (exchange, error) => { this.#failExchange(exchange, error) }
+    })
+    this.#listener = new HttpListener({
+      name: LISTENER_NAME,
+      faults: options.faults,
+      handle: (request, response) => { this.#route(request, response) },
+      rejectMalformed: (error, socket) => { this.#rejectMalformed(error, socket) },
+      server: {
+        maxHeaderSize: options.limits.headerBytes,
+        headersTimeout: HEADERS_TIMEOUT_MS,
+        requestTimeout: REQUEST_TIMEOUT_MS,
+        keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+        requireHostHeader: true
+      },
+      maxConnections: options.limits.connections
+    })
   }
 
   /** Listens and returns the port; rejects when the address cannot be used. */
-  async listen (): Promise<number> { return await listenOn(this.#server, this.options.listen) }
+  async listen (): Promise<number> { return await this.#listener.listen(this.options.listen) }
 
   /** Executes an outbox row. */
   deliver (row: EntryOutput): void {
+    const exchange = 'exchange' in row ? this.#exchanges.get(row.exchange) : undefined
+    if (exchange === undefined) this.#execute(row)
+    else this.#guard(exchange, () => { this.#execute(row) })
+  }
+
+  #execute (row: EntryOutput): void {
     switch (row.kind) {
       case 'lookup-answer': this.#answerLookup(row); return
       case 'refuse': this.#sendRefusal(row); return
@@ -83,11 +99,7 @@
 
   /** Stops listening, closes idle connections, and closes all remaining ones after `graceMs`. */
   async close (graceMs: number): Promise<void> {
-    const closed = new Promise<void>(resolve => { this.#server.close(() => { resolve() }) })
-    this.#server.closeIdleConnections()
-    const timer = setTimeout(() => { this.#server.closeAllConnections() }, graceMs)
-    await closed
-    clearTimeout(timer)
+    await this.#listener.drain(graceMs)
     await this.#attempts.close()
   }
 
@@ -104,7 +116,7 @@
   #route (request: IncomingMessage, response: ServerResponse): void {
     const parsed = this.options.protocol.parseRequest(request)
     if (parsed.kind === 'lookup') this.#handleLookup(request, response, parsed)
-    else if (parsed.kind === 'request') void this.#handleRequest(request, response, parsed)
+    else if (parsed.kind === 'request') this.#handleRequest(request, response, parsed)
     else sendJson(response, parsed.status, { error: { reason: parsed.reason, ran: 'not-run' } })
   }
 
@@ -114,7 +126,7 @@
     const trace = this.options.tracing?.startRequest('lookup', request.headers)
     response.once('close', () => {
       this.#lookups.delete(lookup)
-      if (trace !== undefined) endSpan(trace.span, String(response.statusCode), response.statusCode >= 500)
+      if (trace !== undefined) this.#listener.guard(response, () => { endSpan(trace.span, String(response.statusCode), response.statusCode >= 500) })
     })
     this.options.push({ kind: 'lookup', lookup, ...query })
   }
@@ -124,7 +136,7 @@
     if (response === undefined) return
     this.#lookups.delete(row.lookup)
     this.options.metrics.lookups.inc({ outcome: row.error?.kind ?? 'answered' })
-    this.options.protocol.answerLookup(response, row)
+    guardResponse(this.options.faults, LISTENER_NAME, response, () => { this.options.protocol.answerLookup(response, row) })
   }
 
   #findConnection (socket: Socket): CallerConnection {
@@ -136,7 +148,7 @@
     return connection
   }
 
-  async #handleRequest (request: IncomingMessage, response: ServerResponse, callerRequest: CallerRequest): Promise<void> {
+  #handleRequest (request: IncomingMessage, response: ServerResponse, callerRequest: CallerRequest): void {
     const connection = this.#findConnection(request.socket)
     // During a shutdown the last answer of a connection closes it, so nothing is taken behind a request.
     if (this.options.isLeaving() && connection.size > 0) {
@@ -146,15 +158,19 @@
     const row = this.#createExchange(connection, request, response, callerRequest)
     if (!connection.add(row)) return
     this.#exchanges.set(row.exchange, row)
-    const body = await readBody(request, this.options.limits)
+    this.#guard(row, async () => { await this.#readBody(row) })
+  }
+
+  async #readBody (row: CallerExchange): Promise<void> {
+    const body = await readBody(row.request, this.options.limits)
     if ('kind' in body) {
       this.#exchanges.delete(row.exchange)
-      connection.end(row)
-      if (body.kind === 'too-large') sendJson(response, 413, { error: { reason: 'body-too-large', ran: 'not-run' } }, true)
+      row.connection.end(row)
+      if (body.kind === 'too-large') sendJson(row.response, 413, { error: { reason: 'body-too-large', ran: 'not-run' } }, true)
       return
     }
     row.body = body
-    connection.ready(row)
+    row.connection.ready(row)
   }
 
   #createExchange (connection: CallerConnection, request: IncomingMessage, response: ServerResponse, callerRequest: CallerRequest): CallerExchange {
@@ -171,9 +187,10 @@
       trace: this.options.tracing?.startRequest(`request ${subject}`, request.headers) ?? null,
       receivedAt: performance.now(),
       isStarted: false,
+      hasFailed: false,
       running: null,
-      start: isBehind => { this.#startExchange(row, isBehind) },
-      abandon: () => { this.#finishExchange(row) }
+      start: isBehind => { this.#guard(row, () => { this.#startExchange(row, isBehind) }) },
+      abandon: () => { this.#guard(row, () => { this.#finishExchange(row) }) }
     }
     return row
   }
@@ -184,7 +201,7 @@
     if (!row.isStarted) {
       row.isStarted = true
       this.options.protocol.prepareResponse(response, row.exchange)
-      response.once('close', () => { this.#finishExchange(row) })
+      response.once('close', () => { this.#guard(row, () => { this.#finishExchange(row) }) })
     }
     this.options.push(this.#describeRequest(row, isBehind))
   }
@@ -218,13 +235,24 @@
     row?.connection.defer(row)
   }
 
+  #guard (row: CallerExchange, step: () => unknown): void {
+    contain(step, error => { this.#failExchange(row, error) })
+  }
+
+  // The tick must not wait for an exchange that has failed here.
+  #failExchange (row: CallerExchange, error: unknown): void {
+    row.hasFailed = true
+    this.#listener.fail(row.response, error)
+    this.#finishExchange(row)
+  }
+
   #finishExchange (row: CallerExchange): void {
     if (!this.#exchanges.delete(row.exchange)) return
     const { response, trace, subject } = row
     row.connection.end(row)
     // A request that never started counts as not read.
     if (!row.isStarted) return
-    const isComplete = response.writableFinished
+    const isComplete = response.writableFinished && !row.hasFailed
     if (!isComplete) {
       row.running?.handle.abort()
       this.options.push({ kind: 'caller-left', exchange: row.exchange })
--- a/src/front-end/linkHub.spec.ts
+++ b/src/front-end/linkHub.spec.ts
@@ -13,21 +13,23 @@
 const KEY = Buffer.from('fleet-key-of-tests-01')
 const OTHER_KEY = Buffer.from('another-key-of-tests-2')
 
-interface End { readonly hub: LinkHub, readonly port: number, readonly received: Array<{ from: HostId, message: LinkMessage }>, readonly malformed: string[] }
+interface End { readonly hub: LinkHub, readonly port: number, readonly received: Array<{ from: HostId, message: LinkMessage }>, readonly malformed: string[], readonly faults: string[] }
 
 const start = async (t: Test, name: string, keys: readonly Buffer[]): Promise<End> => {
   const received: End['received'] = []
   const malformed: string[] = []
+  const faults: string[] = []
   const hub = new LinkHub({
     self: toId<HostId>(name),
     listen: { address: '127.0.0.1', port: 0 },
     fleetKeys: () => keys,
     log: createLog(name, 'fatal'),
+    faults: { record: (_listener, error) => { faults.push((error as Error).message) } },
     events: { onMessage: (from, message) => { received.push({ from, message }) }, onMalformed: reason => { malformed.push(reason) }, onTraffic: () => {} }
   })
   const port = await hub.listen()
   t.teardown(() => { hub.close() })
-  return { hub, port, received, malformed }
+  return { hub, port, received, malformed, faults }
 }
 
 const waitUntil = async (holds: () => boolean): Promise<void> => {
--- a/src/front-end/linkHub.ts
+++ b/src/front-end/linkHub.ts
@@ -1,7 +1,5 @@
 /** Links between processes: one authenticated WebSocket for each pair of hosts, opened when the first message is sent. */
 
-import { createServer } from 'node:http'
-import type { Server } from 'node:http'
 import { WebSocket, WebSocketServer } from 'ws'
 import type { RawData } from 'ws'
 import { z } from 'zod'
@@ -9,12 +7,15 @@
 import type { HostId } from '../core/id.js'
 import type { Address } from '../core/address.js'
 import type { Log } from '../observability/log.js'
-import { listenOn } from '../process/listen.js'
+import { contain } from '../process/containment.js'
+import type { FaultLog } from '../process/containment.js'
+import { HttpListener } from '../process/httpListener.js'
 import { decodeFrame, decodeMessage, encodeFrame, encodeMessage } from './linkCodec.js'
 import type { LinkMessage } from './linkCodec.js'
 import { createNonce, createProof, isSameProof } from './linkProof.js'
 
 const MAX_FRAME_BYTES = 16 * 1024 * 1024
+const UPGRADE_REQUIRED = 426
 const HANDSHAKE_TIMEOUT_MS = 1_000
 /** Messages queued while a link is opened. Further ones are dropped; gossip makes up for them. */
 const MAX_QUEUED_MESSAGES = 256
@@ -43,6 +44,7 @@
   /** Returns the fleet keys. The first one signs and all of them verify, so that keys can be rotated without a restart. */
   readonly fleetKeys: () => readonly Buffer[]
   readonly log: Log
+  readonly faults: FaultLog
   readonly events: LinkEvents
 }
 
@@ -71,23 +73,32 @@
 /** Opens, accepts and uses all links of a process. */
 export class LinkHub {
   readonly #links = new Map<HostId, Link>()
-  readonly #server: Server
-  readonly #sockets: WebSocketServer
+  readonly #listener: HttpListener
+  readonly #sockets = new WebSocketServer({ noServer: true, maxPayload: MAX_FRAME_BYTES, perMessageDeflate: false })
   #isClosed = false
 
   constructor (readonly options: LinkHubOptions) {
-    this.#server = createServer((_request, response) => { response.writeHead(426).end() })
-    this.#sockets = new WebSocketServer({ server: this.#server, maxPayload: MAX_FRAME_BYTES, perMessageDeflate: false })
-    this.#sockets.on('connection', socket => { this.#accept(socket) })
-    this.#sockets.on('error', () => {})
+    this.#listener = new HttpListener({
+      name: 'link',
+      faults: options.faults,
+      handle: (_request, response) => { response.writeHead(UPGRADE_REQUIRED).end() },
+      upgrade: (request, socket, head) => { this.#sockets.handleUpgrade(request, socket, head, accepted => { this.#guard(accepted, () => { this.#accept(accepted) }) }) }
+    })
   }
 
   /** Listens and returns the port; rejects when the address cannot be used. */
-  async listen (): Promise<number> { return await listenOn(this.#server, this.options.listen) }
+  async listen (): Promise<number> { return await this.#listener.listen(this.options.listen) }
 
   /** Sends a message, after opening a link if there is none. Delivery is not guaranteed. */
   send (to: HostId, address: Address, message: LinkMessage): void {
     if (this.#isClosed) return
+    contain(() => { this.#send(to, address, message) }, error => {
+      this.#listener.record(error)
+      this.drop(to)
+    })
+  }
+
+  #send (to: HostId, address: Address, message: LinkMessage): void {
     let link = this.#links.get(to)
     if (link === undefined) {
       if (address.port === 0) return
@@ -110,7 +121,15 @@
     for (const host of [...this.#links.keys()]) this.drop(host)
     for (const socket of this.#sockets.clients) socket.terminate()
     this.#sockets.close()
-    this.#server.close()
+    this.#listener.close()
+  }
+
+  // What the handler of a frame throws ends the link that it came on.
+  #guard (socket: WebSocket, step: () => void): void {
+    contain(step, error => {
+      this.#listener.record(error)
+      socket.terminate()
+    })
   }
 
   #write (link: Link, message: LinkMessage): void {
@@ -144,7 +163,7 @@
     const ownNonce = createNonce()
     let expected: readonly string[] = []
     this.#attachListeners(link)
-    socket.on('message', data => {
+    const receive = (data: RawData): void => {
       if (link.isReady) {
         this.#recordActivity(link)
         this.#receive(link.host, toBuffer(data))
@@ -164,7 +183,8 @@
       const welcome = welcomeSchema.safeParse(value)
       if (welcome.success && welcome.data.host === host && expected.some(proof => isSameProof(proof, welcome.data.proof))) this.#markReady(link)
       else this.#reject(socket, 'listener failed to prove its identity')
-    })
+    }
+    socket.on('message', data => { this.#guard(socket, () => { receive(data) }) })
     return link
   }
 
@@ -175,7 +195,7 @@
     socket.on('error', () => { socket.terminate() })
     socket.on('close', () => { clearTimeout(timer) })
     socket.send(encodeFrame({ nonce: ownNonce }))
-    socket.on('message', data => {
+    const receive = (data: RawData): void => {
       if (link !== null) {
         this.#recordActivity(link)
         this.#receive(link.host, toBuffer(data))
@@ -196,7 +216,8 @@
       }
       socket.send(encodeFrame({ host: this.options.self, proof: createProof(key, 'listener', this.options.self, hello.data.nonce, ownNonce) }))
       link = this.#acceptLink(host, socket)
-    })
+    }
+    socket.on('message', data => { this.#guard(socket, () => { receive(data) }) })
   }
 
   // The latest authenticated connection is used for sending: an earlier one may be dead without having been closed.
--- a/src/front-end/lookupServer.ts
+++ b/src/front-end/lookupServer.ts
@@ -1,16 +1,19 @@
 /** HTTP server for look-ups by place and for readiness checks, on its own listen addresses. */
 
-import { createServer } from 'node:http'
-import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { IncomingMessage, ServerResponse } from 'node:http'
 import { toId } from '../core/id.js'
 import type { Millis } from '../core/tick.js'
 import type { LookupAnswered, LookupId, LookupReceived, Place, RankedHost } from '../lookup/types.js'
 import type { Address } from '../core/address.js'
 import type { Metrics } from '../observability/metrics.js'
-import { listenOn } from '../process/listen.js'
+import { guardResponse } from '../process/containment.js'
+import type { FaultLog } from '../process/containment.js'
+import { HttpListener } from '../process/httpListener.js'
 import { parseUrl } from '../process/requestUrl.js'
 import { sendJson } from './jsonBody.js'
 
+const LISTENER_NAME = 'lookups'
+
 /** A request to this server after parsing. */
 export type LookupServerRequest =
   | { readonly kind: 'readiness' }
@@ -28,6 +31,7 @@
 export interface LookupContext {
   readonly protocol: LookupProtocol
   readonly metrics: Metrics
+  readonly faults: FaultLog
   push (row: LookupReceived): void
   /** Whether this host is ready for requests. */
   isReady (): boolean
@@ -37,7 +41,7 @@
 
 /** Serves look-ups and readiness checks, on one address or several. */
 export class LookupServer {
-  readonly #servers: Server[] = []
+  readonly #listeners: HttpListener[] = []
   readonly #pending = new Map<LookupId, ServerResponse>()
   #count = 0
 
@@ -45,9 +49,10 @@
 
   /** Listens on a further address and returns the port; rejects when the address cannot be used. */
   async listen (address: Address): Promise<number> {
-    const server = createServer((request, response) => { this.#route(request, response) })
-    this.#servers.push(server)
-    return await listenOn(server, address)
+    const listener = new HttpListener({ name: LISTENER_NAME, faults: this.context.faults, handle: (request, response) => { this.#route(request, response) } })
+    const port = await listener.listen(address)
+    this.#listeners.push(listener)
+    return port
   }
 
   /** Sends the result of a look-up. */
@@ -56,15 +61,16 @@
     if (response === undefined) return
     this.#pending.delete(row.lookup)
     this.context.metrics.lookups.inc({ outcome: row.error?.kind ?? 'answered' })
+    guardResponse(this.context.faults, LISTENER_NAME, response, () => { this.#answerLookup(row, response) })
+  }
+
+  #answerLookup (row: LookupAnswered, response: ServerResponse): void {
     if (row.error !== null) sendJson(response, 503, { error: row.error.kind })
     else sendJson(response, 200, this.context.protocol.createBody(row.hosts, row.ttlMs))
   }
 
   close (): void {
-    for (const server of this.#servers) {
-      server.close()
-      server.closeAllConnections()
-    }
+    for (const listener of this.#listeners) listener.close()
   }
 
   #route (request: IncomingMessage, response: ServerResponse): void {
--- a/src/front-end/operatorServer.ts
+++ b/src/front-end/operatorServer.ts
@@ -1,7 +1,6 @@
 /** HTTP server for operators: accepts commands and returns their outcomes, the status of the fleet and the configuration. */
 
-import { createServer } from 'node:http'
-import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { IncomingMessage, ServerResponse } from 'node:http'
 import { createHash, randomUUID } from 'node:crypto'
 import { z } from 'zod'
 import { toId } from '../core/id.js'
@@ -10,7 +9,8 @@
 import type { ControlInput, ControlTables } from '../control/types.js'
 import type { Address } from '../core/address.js'
 import type { ProposalAnswered, ProposalError } from '../replicated-log/types.js'
-import { listenOn } from '../process/listen.js'
+import type { FaultLog } from '../process/containment.js'
+import { HttpListener } from '../process/httpListener.js'
 import { describeConfiguration, describeStatus } from './operatorViews.js'
 import { PendingCalls } from './pendingCalls.js'
 import { readJson, sendJson } from './jsonBody.js'
@@ -33,6 +33,7 @@
   /** Returns the users that are allowed at present. */
   readonly operators: () => readonly Operator[]
   readonly tables: ControlTables
+  readonly faults: FaultLog
   readonly now: () => number
   readonly push: (row: ControlInput) => void
 }
@@ -54,28 +55,27 @@
 
 /** Serves operators over HTTP. */
 export class OperatorServer {
-  readonly #server: Server
+  readonly #listener: HttpListener
   readonly #pendingCalls = new PendingCalls(OUTCOME_TIMEOUT_MS, call => { this.deliver({ kind: 'proposal-answer', call, receipt: null, error: { kind: 'outcome-unknown' } }) })
 
   constructor (readonly options: OperatorServerOptions) {
-    this.#server = createServer((request, response) => { void this.#route(request, response) })
+    this.#listener = new HttpListener({ name: 'operators', faults: options.faults, handle: async (request, response) => { await this.#route(request, response) } })
   }
 
   /** Listens and returns the port; rejects when the address cannot be used. */
-  async listen (): Promise<number> { return await listenOn(this.#server, this.options.listen) }
+  async listen (): Promise<number> { return await this.#listener.listen(this.options.listen) }
 
   /** Sends the outcome of a proposal to the operator; ignored when the call has been answered. */
   deliver (row: ProposalAnswered): void {
     const call = this.#pendingCalls.take(row.call)
     if (call === undefined) return
-    if (row.error === null) sendJson(call.response, 200, { receipt: row.receipt })
-    else sendJson(call.response, httpStatusOf(row.error), { error: row.error })
+    this.#listener.guard(call.response, () => {
+      if (row.error === null) sendJson(call.response, 200, { receipt: row.receipt })
+      else sendJson(call.response, httpStatusOf(row.error), { error: row.error })
+    })
   }
 
-  close (): void {
-    this.#server.close()
-    this.#server.closeAllConnections()
-  }
+  close (): void { this.#listener.close() }
 
   #findOperator (request: IncomingMessage): Operator | undefined {
     const token = (request.headers.authorization ?? '').replace(/^Bearer /i, '')
--- a/src/front-end/pendingCalls.ts
+++ b/src/front-end/pendingCalls.ts
@@ -18,11 +18,12 @@
   /** After `timeoutMs` without an outcome, `onTimeout` is called; it must deliver an outcome for the call, which removes it. */
   constructor (readonly timeoutMs: number, readonly onTimeout: (call: CallId) => void) {}
 
-  /** Registers a call and returns its new id. */
+  /** Registers a call and returns its new id. A call whose connection closes is removed. */
   add (response: ServerResponse, url: string): CallId {
     const call = toId<CallId>(randomUUID())
     const timer = setTimeout(() => { this.onTimeout(call) }, this.timeoutMs)
     this.#calls.set(call, { response, url, timer })
+    response.once('close', () => { this.take(call) })
     return call
   }
 
--- a/src/journal/eventLog.ts
+++ b/src/journal/eventLog.ts
@@ -16,7 +16,7 @@
 type Scope = typeof eventRegistry[JournalRow['event']]['scope']
 
 /** Token bucket for the log lines of one scope. */
-class LineRateLimiter {
+export class LineRateLimiter {
   #tokens = LINE_BURST
   #refilledAt: Millis = 0
   droppedLines = 0
--- a/src/observability/metrics.ts
+++ b/src/observability/metrics.ts
@@ -1,11 +1,11 @@
 /** Prometheus metrics of a process, served on a port that callers cannot reach. */
 
-import { createServer } from 'node:http'
-import type { Server } from 'node:http'
+import type { IncomingMessage, ServerResponse } from 'node:http'
 import { Counter, Gauge, Histogram, Registry, collectDefaultMetrics } from 'prom-client'
 import type { MembershipTables } from '../membership/types.js'
 import type { Listener } from '../process/runningProcess.js'
-import { listenOn } from '../process/listen.js'
+import type { FaultLog } from '../process/containment.js'
+import { HttpListener } from '../process/httpListener.js'
 import { parseUrl } from '../process/requestUrl.js'
 import type { Address } from '../core/address.js'
 
@@ -27,6 +27,7 @@
   readonly lookups = new Counter({ name: 'rhubarbseam_lookups_total', help: 'Look-ups, by outcome', labelNames: ['outcome'], registers: [this.registry] })
   readonly ticks = new Counter({ name: 'rhubarbseam_ticks_total', help: 'Rows added to the inbox', registers: [this.registry] })
   readonly malformed = new Counter({ name: 'rhubarbseam_malformed_total', help: 'Link frames and requests rejected as malformed', labelNames: ['where'], registers: [this.registry] })
+  readonly handlerFaults = new Counter({ name: 'rhubarbseam_handler_faults_total', help: 'Errors of handlers, by listener or link; each ended one request or connection', labelNames: ['listener'], registers: [this.registry] })
   readonly linkBytes = new Counter({ name: 'rhubarbseam_link_bytes_total', help: 'Bytes sent and received on links between processes, by kind of message and distance of the other end', labelNames: ['direction', 'kind', 'scope'], registers: [this.registry] })
   readonly diskBytes = new Gauge({ name: 'rhubarbseam_disk_bytes', help: 'Size of the log of this control host on disk, in bytes', registers: [this.registry] })
   readonly diskRefuses = new Gauge({ name: 'rhubarbseam_disk_refuses', help: 'Whether the disk of this control host refuses writes, 0 or 1', registers: [this.registry] })
@@ -48,15 +49,23 @@
   }
 }
 
-/**
- * Serves the metrics at /metrics and, if `explain` is given, the journal at /explain. `refresh` updates the gauges before each
- * scrape. Rejects if the address cannot be bound.
- */
-export const serveMetrics = async (metrics: Metrics, listen: Address, refresh: () => void, explain?: (subject: string | null) => unknown): Promise<Server> => {
-  const server = createServer((request, response) => {
+/** What the metrics endpoint serves. */
+export interface MetricsEndpoint {
+  readonly metrics: Metrics
+  readonly faults: FaultLog
+  /** Updates the gauges before each scrape. */
+  refresh (): void
+  /** Returns the journal events about a subject, or the latest ones if it is null; they are served at /explain. */
+  explain? (subject: string | null): unknown
+}
+
+/** Creates the listener that serves the metrics at /metrics. */
+export const createMetricsListener = ({ metrics, faults, refresh, explain }: MetricsEndpoint): HttpListener => {
+  const handle = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
     const url = parseUrl(request)
     if (url?.pathname === '/explain' && explain !== undefined) {
-      response.writeHead(200, { 'content-type': 'application/json' }).end(JSON.stringify(explain(url.searchParams.get('subject'))))
+      const body = JSON.stringify(explain(url.searchParams.get('subject')))
+      response.writeHead(200, { 'content-type': 'application/json' }).end(body)
       return
     }
     if (url?.pathname !== '/metrics') {
@@ -64,15 +73,15 @@
       return
     }
     refresh()
-    metrics.registry.metrics().then(
-      text => { response.writeHead(200, { 'content-type': metrics.registry.contentType }).end(text) },
-      () => { response.writeHead(500).end() }
-    )
-  })
-  await listenOn(server, listen)
-  return server
+    const text = await metrics.registry.metrics()
+    response.writeHead(200, { 'content-type': metrics.registry.contentType }).end(text)
+  }
+  return new HttpListener({ name: 'metrics', faults, handle })
 }
 
 /** Returns the listener of the metrics endpoint, or an empty list if no address is set. */
-export const metricsListeners = (address: Address | undefined, metrics: Metrics, refresh: () => void, explain?: (subject: string | null) => unknown): Listener[] =>
-  address === undefined ? [] : [{ what: 'metrics', address, listen: async () => await serveMetrics(metrics, address, refresh, explain) }]
+export const metricsListeners = (address: Address | undefined, endpoint: MetricsEndpoint): Listener[] => {
+  if (address === undefined) return []
+  const listener = createMetricsListener(endpoint)
+  return [{ what: 'metrics', address, listen: async () => await listener.listen(address) }]
+}
--- a/src/stand-ins/localEntry.ts
+++ b/src/stand-ins/localEntry.ts
@@ -12,6 +12,8 @@
 import type { CallerProtocol } from '../front-end/callerProtocol.js'
 import { ServiceProtocol } from '../front-end/serviceProtocol.js'
 import { BlockTable } from '../lookup/blockTable.js'
+import { HandlerFaults } from '../observability/handlerFaults.js'
+import { createLog } from '../observability/log.js'
 import { Metrics } from '../observability/metrics.js'
 import type { Tracing } from '../observability/tracing.js'
 
@@ -69,6 +71,7 @@
   installSnapshot(tables.configuration, options.snapshot)
   tables.gossip.confirmedAt = now
   const metrics = new Metrics()
+  const faults = new HandlerFaults(metrics, createLog(LOCAL_HOST, 'fatal'))
   const runner = new Runner<EntryTables, EntryInput, EntryOutput>(world, row => { callers.deliver(row) })
   const push = (row: EntryInput): void => { runner.push(row) }
   const callers = new CallerServer({
@@ -77,6 +80,7 @@
     protocol: options.protocol ?? new ServiceProtocol(),
     limits: { bodyBytes: options.bodyBytes ?? 1024 * 1024, bufferedBodyBytes: 16 * 1024, headerBytes: 8 * 1024, connections: 1_000 },
     metrics,
+    faults,
     tracing: options.tracing ?? null,
     push,
     isLeaving: () => tables.lifecycle.phase !== 'serving'
@@ -85,6 +89,7 @@
     listen: { address: ADDRESS, port: 0 },
     tokens: () => [options.announcementToken ?? 'announcement-token-of-tests'],
     metrics,
+    faults,
     push,
     peers: () => []
   })
