--- a/src/replicated-log/diskStore.ts
+++ b/src/replicated-log/diskStore.ts
@@ -142,8 +142,9 @@
       const { records, validBytes } = decoded.value
       const file = folder.open(LOG_FILE, 'update')
       if (validBytes < content.length) await file.truncate(validBytes)
-      // Frames that were written but not synced before a crash count from now on.
+      // Frames and names that were written but not synced before a crash count from now on.
       await file.sync()
+      folder.sync()
       const image = buildImage(replica, records)
       const vote: VoteRecord = { kind: 'vote', term: image.term, votedFor: image.votedFor }
       return ok({ store: new DiskStore(folder, file, validBytes, vote, onSnapshotSkipped), image })
--- /dev/null
+++ b/src/replicated-log/interruptedReplica.spec.ts
@@ -0,0 +1,124 @@
+import t from 'tap'
+import { createConfiguration, takeSnapshot } from '../configuration/configurationTables.js'
+import { toId } from '../core/id.js'
+import type { OperatorId, RequestId, ZoneId } from '../core/id.js'
+import { SeededRandom } from '../core/random.js'
+import { MemoryFolder } from '../stand-ins/memoryFolder.js'
+import { DiskStore, createReplicaIn } from './diskStore.js'
+import { foundingImage } from './replicaTables.js'
+import type { DiskImage, DiskRecord, Entry, LogSnapshot, ReplicaId } from './types.js'
+
+// Guards against a replica that has forgotten what it confirmed before a kill and a loss of power.
+
+const SEED = Number(process.env.RHUBARBSEAM_SEED ?? 1)
+const RUNS = Number(process.env.RHUBARBSEAM_RUNS ?? 60)
+
+const founder = toId<ReplicaId>('c1#0')
+const founding = foundingImage(founder, { voters: [], learners: [] })
+
+// Its text reaches over several pages.
+const entry = (index: number): Entry => ({
+  index,
+  term: 1,
+  payload: { kind: 'command', envelope: { requestId: toId<RequestId>(`${index}-${'x'.repeat(index * 1_300)}`), operator: toId<OperatorId>('ann'), roles: ['assign'], command: { kind: 'start-evacuation', zone: toId<ZoneId>('z') } } }
+})
+const snapshotAt = (index: number): LogSnapshot => ({ index, term: 1, group: { voters: [], learners: [] }, configuration: { ...takeSnapshot(createConfiguration()), index } })
+
+const WRITES: readonly DiskRecord[] = [
+  { kind: 'vote', term: 1, votedFor: founder },
+  { kind: 'entries', entries: [entry(2), entry(3), entry(4)] },
+  { kind: 'snapshot', snapshot: snapshotAt(3), kept: [entry(4)], isCompaction: true },
+  { kind: 'vote', term: 2, votedFor: null },
+  { kind: 'entries', entries: [entry(5)] },
+  { kind: 'snapshot', snapshot: snapshotAt(20), kept: [] }
+]
+
+/** What a replica may have confirmed to others. */
+interface Confirmed { readonly term: number, readonly lastIndex: number }
+
+const lastIndexOf = ({ entries, snapshot }: DiskImage): number => entries.at(-1)?.index ?? snapshot?.index ?? 0
+
+const open = async (folder: MemoryFolder): Promise<{ store: DiskStore, image: DiskImage }> => {
+  const opened = await DiskStore.openIn(folder)
+  if (opened.tag === 'error') throw new Error(JSON.stringify(opened.error))
+  return opened.value
+}
+
+const lacks = (image: DiskImage, confirmed: Confirmed): string | null => {
+  if (image.replica !== founder) return `is ${image.replica}`
+  if (image.term < confirmed.term) return `forgets term ${confirmed.term}`
+  return lastIndexOf(image) < confirmed.lastIndex ? `forgets entry ${confirmed.lastIndex}` : null
+}
+
+/** Runs an operation and keeps a copy of the folder at each of its steps. */
+const copiesAtEachStep = async (folder: MemoryFolder, run: () => Promise<unknown>): Promise<MemoryFolder[]> => {
+  const copies = [folder.afterKill()]
+  folder.onStep = () => { copies.push(folder.afterKill()) }
+  await run()
+  folder.onStep = () => {}
+  return copies
+}
+
+t.test('a replica that is killed or loses power amid a write remembers all that it confirmed', async t => {
+  const random = new SeededRandom(SEED)
+  const wrong: string[] = []
+  const folder = new MemoryFolder()
+  await createReplicaIn(folder, founding)
+  const { store } = await open(folder)
+  let confirmed: Confirmed = { term: 0, lastIndex: 1 }
+  for (const [number, record] of WRITES.entries()) {
+    const copies = await copiesAtEachStep(folder, async () => await store.write([record]))
+    for (const [step, copy] of copies.entries()) {
+      for (let run = 0; run < RUNS; run += 1) {
+        const opened = await DiskStore.openIn(copy.afterPowerLoss(random))
+        const failure = opened.tag === 'error' ? opened.error.kind : lacks(opened.value.image, confirmed)
+        if (failure !== null) wrong.push(`write ${number}, step ${step}, run ${run}: ${failure}`)
+      }
+    }
+    const { image } = await open(folder.afterKill())
+    confirmed = { term: image.term, lastIndex: lastIndexOf(image) }
+  }
+  t.same(confirmed, { term: 2, lastIndex: 20 })
+  t.same(wrong.slice(0, 5), [], `${wrong.length} wrong`)
+})
+
+t.test('a replica that is killed amid a write, starts, votes and loses power remembers its vote', async t => {
+  const random = new SeededRandom(SEED)
+  const wrong: string[] = []
+  const folder = new MemoryFolder()
+  await createReplicaIn(folder, founding)
+  const { store } = await open(folder)
+  for (const [number, record] of WRITES.entries()) {
+    const copies = await copiesAtEachStep(folder, async () => await store.write([record]))
+    for (const [step, copy] of copies.entries()) {
+      const killed = copy.afterKill()
+      const restarted = await open(killed)
+      const { image } = restarted
+      await restarted.store.write([{ kind: 'vote', term: 9, votedFor: founder }])
+      for (let run = 0; run < RUNS; run += 1) {
+        const opened = await DiskStore.openIn(killed.afterPowerLoss(random))
+        const failure = opened.tag === 'error' ? opened.error.kind : lacks(opened.value.image, { term: 9, lastIndex: lastIndexOf(image) })
+        if (failure !== null) wrong.push(`write ${number}, step ${step}, run ${run}: ${failure}`)
+      }
+    }
+  }
+  t.same(wrong.slice(0, 5), [], `${wrong.length} wrong`)
+})
+
+t.test('a replica that is killed amid its creation, starts, votes and loses power remembers its vote', async t => {
+  const random = new SeededRandom(SEED)
+  const wrong: string[] = []
+  const folder = new MemoryFolder()
+  const copies = await copiesAtEachStep(folder, async () => await createReplicaIn(folder, founding))
+  for (const [step, killed] of copies.entries()) {
+    await createReplicaIn(killed, founding)
+    const { store } = await open(killed)
+    await store.write([{ kind: 'vote', term: 9, votedFor: founder }])
+    for (let run = 0; run < RUNS; run += 1) {
+      const opened = await DiskStore.openIn(killed.afterPowerLoss(random))
+      const failure = opened.tag === 'error' ? JSON.stringify(opened.error) : lacks(opened.value.image, { term: 9, lastIndex: 1 })
+      if (failure !== null) wrong.push(`step ${step}, run ${run}: ${failure}`)
+    }
+  }
+  t.same(wrong.slice(0, 5), [], `${wrong.length} wrong`)
+})
