A control host with an empty log doesn't take part as a replica that has never voted

What callers could see: none reported. A replica whose log, or the file with its name, was empty started without a word at term 0, with a vote for nobody, so it could vote twice in a term, or grant a vote to one that lacks an entry that it had confirmed.

Cause: the store took a log without a single whole record, and a name of no characters, as they were. Neither is what a crash leaves: both files are synced before they get their names.

Now such a folder is refused (`replica-incomplete`), as one without a log is.

--- a/src/process/runningProcess.ts
+++ b/src/process/runningProcess.ts
@@ -43,6 +43,7 @@
     case 'secret-unreadable': return `cannot read key file ${error.path}: ${error.reason}`
     case 'secret-too-short': return `key file ${error.path} must have at least one line, and each line at least ${error.minLength} characters`
     case 'log-corrupt': return `the log is corrupt at byte ${error.offset}; move the data folder away and let this host join as a new replica`
+    case 'replica-incomplete': return `the file ${error.file} of the replica is missing or empty; move the data folder away and let this host join as a new replica`
     case 'folder-unusable': return `cannot use the data folder: ${error.reason}`
     case 'already-founded': return 'the data folder already holds a replica'
   }
--- a/src/replicated-log/diskFormat.ts
+++ b/src/replicated-log/diskFormat.ts
@@ -19,6 +19,7 @@
 /** Why a log file cannot be used. */
 export type DiskError =
   | { readonly kind: 'log-corrupt', readonly offset: number }
+  | { readonly kind: 'replica-incomplete', readonly file: string }
   | { readonly kind: 'folder-unusable', readonly reason: string }
   | { readonly kind: 'already-founded' }
 
--- a/src/replicated-log/diskStore.ts
+++ b/src/replicated-log/diskStore.ts
@@ -82,6 +82,14 @@
   return ok(file)
 }
 
+const readIfPresent = (folder: StorageFolder, name: string): Buffer => folder.exists(name) ? folder.read(name) : Buffer.alloc(0)
+
+// After a loss of power, a file may hold zeros in place of what was written.
+const readReplicaId = (folder: StorageFolder): ReplicaId | null => {
+  const text = readIfPresent(folder, REPLICA_FILE).toString('utf8')
+  return text === '' || text.includes('\0') ? null : toId<ReplicaId>(text)
+}
+
 /** Whether a data folder already holds a replica. */
 export const hasReplica = (path: string): boolean => new NodeFolder(path).exists(REPLICA_FILE)
 
@@ -132,14 +140,17 @@
   /** The same in any folder. */
   static async openIn (folder: StorageFolder, onSnapshotSkipped: (reason: string) => void = () => {}): Promise<Outcome<{ store: DiskStore, image: DiskImage }, DiskError>> {
     try {
-      const replica = toId<ReplicaId>(folder.read(REPLICA_FILE).toString('utf8'))
+      const replica = readReplicaId(folder)
+      if (replica === null) return fail({ kind: 'replica-incomplete', file: REPLICA_FILE })
       for (const name of folder.list()) {
         if (name.endsWith(TEMPORARY_SUFFIX)) removeIfPossible(folder, name)
       }
-      const content = folder.read(LOG_FILE)
+      const content = readIfPresent(folder, LOG_FILE)
       const decoded = decodeLog(content)
       if (decoded.tag === 'error') return decoded
       const { records, validBytes } = decoded.value
+      // A log is synced with its first record before it gets its name. Without one, votes are forgotten.
+      if (records.length === 0) return fail({ kind: 'replica-incomplete', file: LOG_FILE })
       const file = folder.open(LOG_FILE, 'update')
       if (validBytes < content.length) await file.truncate(validBytes)
       // Frames and names that were written but not synced before a crash count from now on.
