--- a/src/control/controlOutbox.ts
+++ b/src/control/controlOutbox.ts
@@ -3,7 +3,7 @@
 import { setTimeout as delay } from 'node:timers/promises'
 import type { Outcome } from '../core/outcome.js'
 import type { Millis } from '../core/tick.js'
-import type { WriteRefusal } from '../replicated-log/diskStore.js'
+import type { WriteRefusal } from '../replicated-log/replicaFiles.js'
 import type { DiskRecord, DiskReported, LogMessageSent, Persisted, PersistRequested } from '../replicated-log/types.js'
 import type { LinkDropped, MessageSent } from '../membership/types.js'
 import type { ControlAnswer, ControlMessage, ControlOutput } from './types.js'
--- a/src/replicated-log/diskStore.ts
+++ b/src/replicated-log/diskStore.ts
@@ -5,115 +5,17 @@
 
 import { fail, ok } from '../core/outcome.js'
 import type { Outcome } from '../core/outcome.js'
-import { toId } from '../core/id.js'
 import { buildImage, decodeLog, encodeRecord } from './diskFormat.js'
 import type { DiskError } from './diskFormat.js'
+import { LOG_FILE, REPLICA_FILE, TEMPORARY_SUFFIX, describeFailure, readIfPresent, readReplicaId, refused, removeIfPossible, replaceFile, writeFully } from './replicaFiles.js'
+import type { WriteRefusal } from './replicaFiles.js'
 import { NodeFolder } from './storageFolder.js'
 import type { StorageFile, StorageFolder } from './storageFolder.js'
-import type { DiskImage, DiskRecord, ReplicaId } from './types.js'
-
-const LOG_FILE = 'log'
-const REPLICA_FILE = 'replica'
-const TEMPORARY_SUFFIX = '.tmp'
+import type { DiskImage, DiskRecord } from './types.js'
 
 type SnapshotRecord = Extract<DiskRecord, { kind: 'snapshot' }>
 type VoteRecord = Extract<DiskRecord, { kind: 'vote' }>
 
-/** The disk refused a write, as when it is full. The records before it are durable; nothing of it or of later ones is kept. */
-export interface WriteRefusal {
-  readonly kind: 'write-refused'
-  /** Number of records that are durable. */
-  readonly written: number
-  readonly reason: string
-}
-
-const describe = (error: unknown): string => error instanceof Error ? error.message : String(error)
-
-const refused = (written: number, error: unknown): Outcome<never, WriteRefusal> => fail({ kind: 'write-refused', written, reason: describe(error) })
-
-// The kernel may write a part of the bytes and report success, as on a disk that is nearly full. Returns how many were written
-// if the rest is refused, else null.
-const writeFully = async (file: StorageFile, bytes: Uint8Array, position: number): Promise<{ readonly done: number, readonly error: unknown } | null> => {
-  let done = 0
-  while (done < bytes.length) {
-    try {
-      const count = await file.write(bytes.subarray(done), position + done)
-      if (count === 0) return { done, error: 'the disk takes no more bytes' }
-      done += count
-    } catch (error) {
-      return { done, error }
-    }
-  }
-  return null
-}
-
-const removeIfPossible = (folder: StorageFolder, name: string): void => {
-  try {
-    folder.remove(name)
-  } catch {
-    // The next start removes it.
-  }
-}
-
-/** Replaces a file as a whole and returns the new one; what stood before stays when the disk refuses. Rejects when a sync fails. */
-const replaceFile = async (folder: StorageFolder, name: string, content: Buffer): Promise<Outcome<StorageFile, WriteRefusal>> => {
-  const temporary = `${name}${TEMPORARY_SUFFIX}`
-  let file: StorageFile
-  try {
-    file = folder.open(temporary, 'create')
-  } catch (error) {
-    return refused(0, error)
-  }
-  const rest = await writeFully(file, content, 0)
-  if (rest !== null) {
-    file.close()
-    removeIfPossible(folder, temporary)
-    return refused(0, rest.error)
-  }
-  await file.sync()
-  try {
-    folder.rename(temporary, name)
-  } catch (error) {
-    file.close()
-    removeIfPossible(folder, temporary)
-    return refused(0, error)
-  }
-  folder.sync()
-  return ok(file)
-}
-
-const readIfPresent = (folder: StorageFolder, name: string): Buffer => folder.exists(name) ? folder.read(name) : Buffer.alloc(0)
-
-// After a loss of power, a file may hold zeros in place of what was written.
-const readReplicaId = (folder: StorageFolder): ReplicaId | null => {
-  const text = readIfPresent(folder, REPLICA_FILE).toString('utf8')
-  return text === '' || text.includes('\0') ? null : toId<ReplicaId>(text)
-}
-
-/** Whether a data folder already holds a replica. */
-export const hasReplica = (path: string): boolean => new NodeFolder(path).exists(REPLICA_FILE)
-
-/** Writes the initial records of a replica; fails with `already-founded` when the folder holds one. */
-export const createReplica = async (path: string, image: DiskImage): Promise<Outcome<null, DiskError>> => await createReplicaIn(new NodeFolder(path), image)
-
-/** The same in any folder. */
-export const createReplicaIn = async (folder: StorageFolder, image: DiskImage): Promise<Outcome<null, DiskError>> => {
-  if (folder.exists(REPLICA_FILE)) return fail({ kind: 'already-founded' })
-  const records: DiskRecord[] = [{ kind: 'vote', term: image.term, votedFor: image.votedFor }]
-  if (image.entries.length > 0) records.push({ kind: 'entries', entries: image.entries })
-  const files = [[LOG_FILE, Buffer.concat(records.map(encodeRecord))], [REPLICA_FILE, Buffer.from(image.replica)]] as const
-  try {
-    for (const [name, content] of files) {
-      const replaced = await replaceFile(folder, name, content)
-      if (replaced.tag === 'error') return fail({ kind: 'folder-unusable', reason: replaced.error.reason })
-      replaced.value.close()
-    }
-    return ok(null)
-  } catch (error) {
-    return fail({ kind: 'folder-unusable', reason: describe(error) })
-  }
-}
-
 /** An open log file. */
 export class DiskStore {
   #file: StorageFile
@@ -160,7 +62,7 @@
       const vote: VoteRecord = { kind: 'vote', term: image.term, votedFor: image.votedFor }
       return ok({ store: new DiskStore(folder, file, validBytes, vote, onSnapshotSkipped), image })
     } catch (error) {
-      return fail({ kind: 'folder-unusable', reason: describe(error) })
+      return fail({ kind: 'folder-unusable', reason: describeFailure(error) })
     }
   }
 
