A control host whose log or name is unusable joins as a new replica instead of ending at each start

What operators saw: a control host that exits 4 at each start until a person moves its data folder away, when its log is damaged or missing. And one that found no name beside a used log, with `bootstrap` still true, founded the group again as the replica that it had been, with an empty log: it could vote twice.

Cause: such a folder was an error of the start, or looked like an unused one.

Now it is a lost disk: the host starts as a new replica, which has no vote until it is admitted and caught up, also where its settings let it found the group. The new name is written first, then the log is kept aside (one), then the new log is written; so no crash leaves a folder that votes in place of the old replica. A creation that was cut off is told apart, by a log that was never used, and completed as it began, also by a founder that may no longer found. A log with whole records that this build can't read is left alone (`record-unknown`, exit 4): a build rolled back would otherwise give up the logs of all hosts at once. One log line, and rhubarbseam_lost_replicas_total.

Ruled out: that a loss of power leaves such a folder: both files are synced before they get their names, and the log has its name before the replica's is written.

--- a/src/control/controlProcess.ts
+++ b/src/control/controlProcess.ts
@@ -13,10 +13,10 @@
 import type { Operator } from '../front-end/operatorServer.js'
 import { createMember } from '../membership/createMember.js'
 import { createLog } from '../observability/log.js'
-import { createReplica } from '../replicated-log/replicaCreation.js'
+import { createReplica, foundingReplicaId } from '../replicated-log/replicaCreation.js'
 import { OperatorAdmission } from '../replicated-log/replicaAdmission.js'
 import { foundingImage } from '../replicated-log/replicaTables.js'
-import type { Group, Replica, ReplicaId } from '../replicated-log/types.js'
+import type { Group, Replica } from '../replicated-log/types.js'
 import { SecretFile } from '../process/secretFile.js'
 import { toSeeds } from '../settings/seeds.js'
 import type { ControlSettings } from '../settings/settingsSchema.js'
@@ -45,7 +45,7 @@
 }
 
 const toReplica = (founder: ControlSettings['founders'][number]): Replica => ({
-  replica: toId<ReplicaId>(`${founder.host}#0`),
+  replica: foundingReplicaId(toId(founder.host)),
   host: toId(founder.host),
   link: { address: founder.address, port: founder.port }
 })
@@ -53,7 +53,7 @@
 /** Writes the initial replica of a new group to the data folder. Must run exactly once on every founder. */
 export const createFoundingReplica = async (settings: ControlSettings): Promise<Outcome<null, StartError>> => {
   const group: Group = { voters: settings.founders.map(toReplica), learners: [] }
-  return await createReplica(settings.dataFolder, foundingImage(toId<ReplicaId>(`${settings.host}#0`), group))
+  return await createReplica(settings.dataFolder, foundingImage(foundingReplicaId(toId(settings.host)), group))
 }
 
 /**
--- a/src/control/controlRuntime.ts
+++ b/src/control/controlRuntime.ts
@@ -1,12 +1,10 @@
 /** Runs a control host: connects its world to the disk, the front end for operators and the links to other processes. */
 
-import { randomUUID } from 'node:crypto'
 import { ok } from '../core/outcome.js'
 import type { Outcome } from '../core/outcome.js'
-import { toId } from '../core/id.js'
 import { Runner, monotonicClock } from '../core/runner.js'
 import { exitCodes } from '../process/exitCodes.js'
-import { listenAll } from '../process/runningProcess.js'
+import { describeStartError, listenAll } from '../process/runningProcess.js'
 import type { Listener, RunningProcess, StartError } from '../process/runningProcess.js'
 import { EventLog } from '../journal/eventLog.js'
 import { createProcessLinks } from '../front-end/processLinks.js'
@@ -17,12 +15,12 @@
 import { DiskUse } from '../observability/diskUse.js'
 import type { Log } from '../observability/log.js'
 import { Metrics, metricsListeners } from '../observability/metrics.js'
-import { DiskStore } from '../replicated-log/diskStore.js'
-import { createReplica, hasReplica } from '../replicated-log/replicaCreation.js'
+import type { DiskError } from '../replicated-log/diskFormat.js'
+import { openReplica } from '../replicated-log/replicaCreation.js'
+import type { OpenReplica } from '../replicated-log/replicaCreation.js'
 import { diskSize } from '../replicated-log/storageFolder.js'
 import type { ReplicaAdmission } from '../replicated-log/replicaAdmission.js'
-import { foundingImage } from '../replicated-log/replicaTables.js'
-import type { Replica, ReplicaId } from '../replicated-log/types.js'
+import type { Replica } from '../replicated-log/types.js'
 import type { SecretFile } from '../process/secretFile.js'
 import { ControlOutbox } from './controlOutbox.js'
 import { createControlWorld } from './controlWorld.js'
@@ -62,28 +60,26 @@
   createFrontEnd (context: ControlContext): ControlFrontEnd
 }
 
-// An empty folder gets a new replica id, which must be admitted to the group first: it must not vote in place of a replica whose disk
-// was lost.
-const openStore = async ({ dataFolder, self, founders, log }: ControlRuntimeOptions): ReturnType<typeof DiskStore.open> => {
-  if (!hasReplica(dataFolder)) {
-    const image = founders === null
-      ? { replica: toId<ReplicaId>(`${self.host}#${randomUUID()}`), term: 0, votedFor: null, snapshot: null, entries: [] }
-      : foundingImage(toId<ReplicaId>(`${self.host}#0`), { voters: founders, learners: [] })
-    const created = await createReplica(dataFolder, image)
-    if (created.tag === 'error') return created
-  }
-  return await DiskStore.open(dataFolder, reason => { log.warn({ reason }, 'no room for a snapshot; the log stays as it is') })
-}
+const openStore = async ({ dataFolder, self, founders, log }: ControlRuntimeOptions, metrics: Metrics): Promise<Outcome<OpenReplica, DiskError>> =>
+  await openReplica(dataFolder, {
+    host: self.host,
+    founders: founders === null ? null : { voters: founders, learners: [] },
+    onLost: error => {
+      metrics.lostReplicas.inc()
+      log.error({ reason: describeStartError(error) }, 'the replica in the data folder cannot be used; joining as a new one')
+    },
+    onSnapshotSkipped: reason => { log.warn({ reason }, 'no room for a snapshot; the log stays as it is') }
+  })
 
 const ignoreSignal = (): void => {}
 
 /** Starts a control host. Returns an error if it cannot start. */
 export const runControl = async (options: ControlRuntimeOptions): Promise<Outcome<RunningProcess, StartError>> => {
   const { self, seeds, log } = options
-  const opened = await openStore(options)
+  const metrics = new Metrics()
+  const opened = await openStore(options, metrics)
   if (opened.tag === 'error') return opened
   const { store, image } = opened.value
-  const metrics = new Metrics()
   const diskUse = new DiskUse(metrics, log, diskSize(options.dataFolder))
   diskUse.record(store.bytes)
   const world = createControlWorld({ self, seeds, image, dissemination: options.dissemination, admission: options.admission, reportExpiryMs: options.reportExpiryMs, randomSeed: Date.now() ^ process.pid, now: monotonicClock() })
--- a/src/observability/metrics.ts
+++ b/src/observability/metrics.ts
@@ -29,6 +29,7 @@
   readonly linkBytes = new Counter({ name: 'rhubarbseam_link_bytes_total', help: 'Bytes sent and received on links between processes, by kind of message and distance of the other end', labelNames: ['direction', 'kind', 'scope'], registers: [this.registry] })
   readonly diskBytes = new Gauge({ name: 'rhubarbseam_disk_bytes', help: 'Size of the log of this control host on disk, in bytes', registers: [this.registry] })
   readonly diskRefuses = new Gauge({ name: 'rhubarbseam_disk_refuses', help: 'Whether the disk of this control host refuses writes, 0 or 1', registers: [this.registry] })
+  readonly lostReplicas = new Counter({ name: 'rhubarbseam_lost_replicas_total', help: 'Replicas that this control host could not use when it started, so that it joined as a new one', registers: [this.registry] })
   readonly configurationIndex = new Gauge({ name: 'rhubarbseam_configuration_index', help: 'Log index of the configuration in force on this host', registers: [this.registry] })
   readonly configurationAge = new Gauge({ name: 'rhubarbseam_configuration_age_seconds', help: 'Time since the configuration of this host was last confirmed to be current, in seconds', registers: [this.registry] })
   readonly members = new Gauge({ name: 'rhubarbseam_members', help: 'Members of the fleet, by state', labelNames: ['state'], registers: [this.registry] })
--- a/src/process/runningProcess.ts
+++ b/src/process/runningProcess.ts
@@ -42,8 +42,9 @@
     case 'address-unusable': return `cannot listen for ${error.what} on ${error.address}: ${error.reason}`
     case 'secret-unreadable': return `cannot read key file ${error.path}: ${error.reason}`
     case 'secret-too-short': return `key file ${error.path} must have at least one line, and each line at least ${error.minLength} characters`
-    case 'log-corrupt': return `the log is corrupt at byte ${error.offset}; move the data folder away and let this host join as a new replica`
-    case 'replica-incomplete': return `the file ${error.file} of the replica is missing or empty; move the data folder away and let this host join as a new replica`
+    case 'log-corrupt': return `the log is corrupt at byte ${error.offset}`
+    case 'record-unknown': return `the log has a record at byte ${error.offset} that this build cannot read; start the build that wrote it`
+    case 'replica-incomplete': return `the file ${error.file} of the replica is missing or empty`
     case 'folder-unusable': return `cannot use the data folder: ${error.reason}`
     case 'already-founded': return 'the data folder already holds a replica'
   }
--- a/src/replicated-log/diskFormat.ts
+++ b/src/replicated-log/diskFormat.ts
@@ -19,6 +19,7 @@
 /** Why a log file cannot be used. */
 export type DiskError =
   | { readonly kind: 'log-corrupt', readonly offset: number }
+  | { readonly kind: 'record-unknown', readonly offset: number }
   | { readonly kind: 'replica-incomplete', readonly file: string }
   | { readonly kind: 'folder-unusable', readonly reason: string }
   | { readonly kind: 'already-founded' }
@@ -81,7 +82,8 @@
 
 /**
  * Decodes all frames up to the first one that isn't whole. Each frame is synced before the next one is written, so that one is a
- * torn write and ignored, unless something was written behind it: then it is damaged, and decoding fails with `log-corrupt`.
+ * torn write and ignored, unless something was written behind it: then it is damaged, and decoding fails with
+ * `log-corrupt`. A whole frame that this build can't read is `record-unknown`.
  */
 export const decodeLog = (file: Buffer): Outcome<DecodedLog, DiskError> => {
   const records: DiskRecord[] = []
@@ -93,7 +95,7 @@
       break
     }
     const record = unpackRecord(body)
-    if (record === null) return fail({ kind: 'log-corrupt', offset })
+    if (record === null) return fail({ kind: 'record-unknown', offset })
     records.push(record)
     offset += HEADER_BYTES + body.length
   }
--- a/src/replicated-log/interruptedReplica.spec.ts
+++ b/src/replicated-log/interruptedReplica.spec.ts
@@ -5,9 +5,9 @@
 import { SeededRandom } from '../core/random.js'
 import { MemoryFolder } from '../stand-ins/memoryFolder.js'
 import { DiskStore } from './diskStore.js'
-import { createReplicaIn } from './replicaCreation.js'
+import { createReplicaIn, openReplicaIn } from './replicaCreation.js'
 import { foundingImage } from './replicaTables.js'
-import type { DiskImage, DiskRecord, Entry, LogSnapshot, ReplicaId } from './types.js'
+import type { DiskImage, DiskRecord, Entry, Group, LogSnapshot, ReplicaId } from './types.js'
 
 // Guards against a replica that has forgotten what it confirmed before a kill and a loss of power.
 
@@ -123,3 +123,72 @@
   }
   t.same(wrong.slice(0, 5), [], `${wrong.length} wrong`)
 })
+
+const group: Group = { voters: [{ replica: founder, host: toId('c1'), link: { address: '10.0.0.1', port: 1 } }], learners: [] }
+
+const openAs = async (folder: MemoryFolder, founders: Group | null): Promise<{ image: DiskImage, store: DiskStore, isLost: boolean }> => {
+  let isLost = false
+  const opened = await openReplicaIn(folder, { host: toId('c1'), founders, onLost: () => { isLost = true }, onSnapshotSkipped: () => {} })
+  if (opened.tag === 'error') throw new Error(JSON.stringify(opened.error))
+  return { ...opened.value, isLost }
+}
+
+/** What a folder may hold once the process is killed at a step, or the power fails there. */
+const survivors = (copy: MemoryFolder, random: SeededRandom): MemoryFolder[] =>
+  [copy.afterKill(), ...Array.from({ length: RUNS }, () => copy.afterPowerLoss(random))]
+
+t.test('a founder that is stopped amid the creation of its replica starts as the founder that it was', async t => {
+  const random = new SeededRandom(SEED)
+  const wrong: string[] = []
+  const folder = new MemoryFolder()
+  const copies = await copiesAtEachStep(folder, async () => await openAs(folder, group))
+  for (const [step, copy] of copies.entries()) {
+    for (const survivor of survivors(copy, random)) {
+      const { image, isLost } = await openAs(survivor, group)
+      if (image.replica !== founder || image.entries.length !== 1 || isLost) wrong.push(`step ${step}: ${image.replica}`)
+    }
+  }
+  t.same(wrong.slice(0, 5), [], `${wrong.length} wrong`)
+})
+
+t.test('a founder that is stopped once its first log is written is still one when it may no longer found', async t => {
+  const random = new SeededRandom(SEED)
+  const wrong: string[] = []
+  const folder = new MemoryFolder()
+  const copies = await copiesAtEachStep(folder, async () => await openAs(folder, group))
+  for (const [step, copy] of copies.entries()) {
+    for (const survivor of survivors(copy, random)) {
+      const isBegun = survivor.exists('log')
+      const { image, isLost } = await openAs(survivor, null)
+      if ((image.replica === founder) !== isBegun || isLost) wrong.push(`step ${step}: ${image.replica}`)
+    }
+  }
+  t.same(wrong.slice(0, 5), [], `${wrong.length} wrong`)
+})
+
+t.test('a host that is stopped amid giving up its replica never takes part under the name of that again', async t => {
+  const random = new SeededRandom(SEED)
+  const wrong: string[] = []
+  for (const lostFile of ['log', 'replica', null]) {
+    const folder = new MemoryFolder()
+    const { store } = await openAs(folder, group)
+    await store.write(WRITES.slice(0, 2))
+    if (lostFile === null) {
+      const log = folder.open('log', 'update')
+      await log.write(Buffer.of(255), 20)
+      await log.sync()
+    } else folder.remove(lostFile)
+    folder.sync()
+    const copies = await copiesAtEachStep(folder, async () => await openAs(folder, group))
+    for (const [step, copy] of copies.entries()) {
+      for (const survivor of survivors(copy, random)) {
+        const { image, store } = await openAs(survivor, group)
+        await store.write([{ kind: 'vote', term: 9, votedFor: null }])
+        const again = await openAs(survivor.afterPowerLoss(random), group)
+        if (image.replica === founder || again.image.replica !== image.replica || again.image.term !== 9) wrong.push(`${lostFile === null ? 'log damaged' : `no ${lostFile}`}, step ${step}: ${image.replica}, then ${again.image.replica}`)
+        if (survivor.list().some(name => !['log', 'log.unusable', 'replica'].includes(name))) wrong.push(`step ${step}: ${survivor.list().join(' ')}`)
+      }
+    }
+  }
+  t.same(wrong.slice(0, 5), [], `${wrong.length} wrong`)
+})
--- a/src/replicated-log/replicaFiles.ts
+++ b/src/replicated-log/replicaFiles.ts
@@ -10,6 +10,8 @@
 export const LOG_FILE = 'log'
 /** The file with the id of the replica. */
 export const REPLICA_FILE = 'replica'
+/** Where a log that can't be used is kept for a person to look at; the next one replaces it. */
+export const UNUSABLE_LOG_FILE = 'log.unusable'
 /** The end of the names of files that are being written. */
 export const TEMPORARY_SUFFIX = '.tmp'
 
