A data folder that a control host creates is still there after a loss of power

On a machine whose data folder didn't exist, a control host created it with the folders above it and synced only what it wrote in it. A loss of power could take the folder away, and with it votes and entries that the replica had confirmed; with `bootstrap` still true it would then have been founded again.

Cause: the name of a new folder is durable only once the folder above it is synced.

Now each folder above a new one is synced when it is created, but for those that the user of the process may not read.

--- a/src/replicated-log/storageFolder.ts
+++ b/src/replicated-log/storageFolder.ts
@@ -2,7 +2,7 @@
 
 import { closeSync, existsSync, fsync, fsyncSync, ftruncate, mkdirSync, openSync, readFileSync, readdirSync, renameSync, statfsSync, unlinkSync, write } from 'node:fs'
 import { promisify } from 'node:util'
-import { join } from 'node:path'
+import { dirname, join, resolve } from 'node:path'
 
 /** A file that is open for writing. */
 export interface StorageFile {
@@ -55,6 +55,32 @@
   }
 }
 
+const syncFolder = (path: string): void => {
+  const descriptor = openSync(path, 'r')
+  try {
+    fsyncSync(descriptor)
+  } finally {
+    closeSync(descriptor)
+  }
+}
+
+// A folder that this user may not read can't be synced.
+const syncIfReadable = (path: string): void => {
+  try {
+    syncFolder(path)
+  } catch (error) {
+    if (!(error instanceof Error && 'code' in error && error.code === 'EACCES')) throw error
+  }
+}
+
+// The name of a new folder is durable once the folder above it is synced.
+const createFolder = (path: string): void => {
+  const created = mkdirSync(path, { recursive: true })
+  if (created === undefined) return
+  const highest = resolve(created)
+  for (let folder = resolve(path); folder.length >= highest.length; folder = dirname(folder)) syncIfReadable(dirname(folder))
+}
+
 /** A folder of the file system; created if it is missing. */
 export class NodeFolder implements StorageFolder {
   constructor (readonly path: string) {}
@@ -66,7 +92,7 @@
   read (name: string): Buffer { return readFileSync(join(this.path, name)) }
 
   open (name: string, mode: 'create' | 'update'): StorageFile {
-    if (mode === 'create') mkdirSync(this.path, { recursive: true })
+    if (mode === 'create') createFolder(this.path)
     return new NodeFile(openSync(join(this.path, name), mode === 'create' ? 'w' : 'r+'))
   }
 
@@ -74,12 +100,5 @@
 
   remove (name: string): void { unlinkSync(join(this.path, name)) }
 
-  sync (): void {
-    const descriptor = openSync(this.path, 'r')
-    try {
-      fsyncSync(descriptor)
-    } finally {
-      closeSync(descriptor)
-    }
-  }
+  sync (): void { syncFolder(this.path) }
 }
