A control host with a torn log starts while its disk refuses writes

What operators saw: a control host that came back from a loss of power to a disk that refuses writes ended with code 4, cannot use the data folder, at each start.

Cause: the start cut off the torn frame and took a refusal for a failure of the start. A refusal while the host runs was borne.

Now the cut is made at the start, or before the next write, by the same code as after a refused write; until then the host confirms nothing, as designed.

--- a/src/replicated-log/diskStore.ts
+++ b/src/replicated-log/diskStore.ts
@@ -21,7 +21,7 @@
   #file: StorageFile
   #position: number
   #vote: VoteRecord
-  /** Whether a part of a refused frame may stand behind the last whole one. */
+  /** Whether a part of a torn or refused frame may stand behind the last whole one. */
   #hasTornTail = false
   readonly #folder: StorageFolder
   readonly #onSnapshotSkipped: (reason: string) => void
@@ -34,7 +34,10 @@
     this.#onSnapshotSkipped = onSnapshotSkipped
   }
 
-  /** Opens the folder of a replica, truncates a torn last frame and returns the state that the valid records hold. */
+  /**
+   * Opens the folder of a replica and returns the state that the valid records hold. Cuts off a torn last frame, now or before the
+   * next write.
+   */
   static async open (path: string, onSnapshotSkipped: (reason: string) => void = () => {}): Promise<Outcome<{ store: DiskStore, image: DiskImage }, DiskError>> {
     return await DiskStore.openIn(new NodeFolder(path), onSnapshotSkipped)
   }
@@ -54,13 +57,15 @@
       // A log is synced with its first record before it gets its name. Without one, votes are forgotten.
       if (records.length === 0) return fail({ kind: 'replica-incomplete', file: LOG_FILE })
       const file = folder.open(LOG_FILE, 'update')
-      if (validBytes < content.length) await file.truncate(validBytes)
+      const image = buildImage(replica, records)
+      const vote: VoteRecord = { kind: 'vote', term: image.term, votedFor: image.votedFor }
+      const store = new DiskStore(folder, file, validBytes, vote, onSnapshotSkipped)
+      store.#hasTornTail = validBytes < content.length
+      await store.#cutTornTail()
       // Frames and names that were written but not synced before a crash count from now on.
       await file.sync()
       folder.sync()
-      const image = buildImage(replica, records)
-      const vote: VoteRecord = { kind: 'vote', term: image.term, votedFor: image.votedFor }
-      return ok({ store: new DiskStore(folder, file, validBytes, vote, onSnapshotSkipped), image })
+      return ok({ store, image })
     } catch (error) {
       return fail({ kind: 'folder-unusable', reason: describeFailure(error) })
     }
@@ -100,18 +105,24 @@
     return ok(null)
   }
 
+  // Returns why the disk refused it; null when nothing stands behind the last whole frame any more.
+  async #cutTornTail (): Promise<unknown> {
+    if (!this.#hasTornTail) return null
+    try {
+      await this.#file.truncate(this.#position)
+    } catch (error) {
+      return error
+    }
+    await this.#file.sync()
+    this.#hasTornTail = false
+    return null
+  }
+
   // Returns why the disk refused the record; null when it is durable.
   async #append (record: DiskRecord): Promise<unknown> {
     const frame = encodeRecord(record)
-    if (this.#hasTornTail) {
-      try {
-        await this.#file.truncate(this.#position)
-      } catch (error) {
-        return error
-      }
-      await this.#file.sync()
-      this.#hasTornTail = false
-    }
+    const refusal = await this.#cutTornTail()
+    if (refusal !== null) return refusal
     const rest = await writeFully(this.#file, frame, this.#position)
     if (rest !== null) {
       this.#hasTornTail = rest.done > 0
--- a/src/replicated-log/refusedWrites.spec.ts
+++ b/src/replicated-log/refusedWrites.spec.ts
@@ -154,3 +154,19 @@
   await open(folder)
   t.same(folder.list().sort(), ['log', 'replica'])
 })
+
+t.test('a replica with a torn frame starts while the disk refuses to cut it off, and does so before the next write', async t => {
+  const folder = await create()
+  const log = folder.open('log', 'update')
+  await log.write(encodeRecord(entries(7, 40)).subarray(0, -1), folder.read('log').length)
+  await log.sync()
+  folder.refusesChanges = true
+  const { store, image } = await open(folder)
+  t.equal(image.entries.length, 6)
+  t.match(await store.write([entries(7, 7, 2)]), { tag: 'error', error: { kind: 'write-refused', written: 0 } })
+  t.equal((await open(folder.afterKill())).image.entries.length, 6)
+  folder.refusesChanges = false
+  t.equal((await store.write([entries(7, 7, 2)])).tag, 'ok')
+  const random = new SeededRandom(1)
+  t.match((await open(folder.afterPowerLoss(random))).image.entries.at(-1), { index: 7, term: 2 })
+})
--- a/src/stand-ins/memoryFolder.ts
+++ b/src/stand-ins/memoryFolder.ts
@@ -57,6 +57,8 @@
   return Buffer.from(content)
 }
 
+const faultyDiskError = (): Error => Object.assign(new Error('EIO: i/o error'), { code: 'EIO' })
+
 const fullDiskError = (): Error => Object.assign(new Error('ENOSPC: no space left on device'), { code: 'ENOSPC' })
 
 /**
@@ -66,6 +68,8 @@
 export class MemoryFolder implements StorageFolder {
   room = Number.POSITIVE_INFINITY
   fullDisk: FullDisk = 'refuse'
+  /** Whether the disk refuses every change, as a faulty one does; files can still be read, opened and synced. */
+  refusesChanges = false
   /** Called after each change of the folder or one of its files, and after each sync. */
   onStep: () => void = () => {}
   #names = new Map<string, MemoryFile>()
@@ -83,6 +87,7 @@
 
   open (name: string, mode: 'create' | 'update'): StorageFile {
     if (mode === 'create') {
+      this.#checkChange()
       if (this.room <= 0) throw fullDiskError()
       this.#names.set(name, new MemoryFile())
       this.onStep()
@@ -93,6 +98,7 @@
   }
 
   rename (from: string, to: string): void {
+    this.#checkChange()
     const file = this.#names.get(from)
     if (file === undefined) throw new Error(`ENOENT: ${from}`)
     this.#names.delete(from)
@@ -101,6 +107,7 @@
   }
 
   remove (name: string): void {
+    this.#checkChange()
     this.#names.delete(name)
     this.onStep()
   }
@@ -137,15 +144,21 @@
     return folder
   }
 
+  #checkChange (): void {
+    if (this.refusesChanges) throw faultyDiskError()
+  }
+
   #handle (file: MemoryFile): StorageFile {
     return {
       write: async (bytes, position) => {
+        this.#checkChange()
         const count = this.#countAccepted(bytes.length)
         file.unsynced.push({ kind: 'write', position, bytes: Buffer.from(bytes.subarray(0, count)) })
         this.onStep()
         return count
       },
       truncate: async length => {
+        this.#checkChange()
         file.unsynced.push({ kind: 'truncate', length })
         this.onStep()
       },
