A control host waits for its data folder instead of ending

What operators saw: a control host that ended with code 4, cannot use the data folder, when its disk was mounted a moment later, or was full when it had to create its replica; and again at each start until that had passed.

Cause: each failure of the folder ended the start.

Now the start tries again for 30 s, with one log line that says what for, and can be told to stop meanwhile. The signal for a limit on file size is ignored from before the folder is opened, so such a limit is a refusal there too.

Evidence: a data folder that is there 300 ms after the start. On the code before (run in a scratch copy, through runControl): folder-unusable at once; folderWait.spec.ts now starts, and gives up after its limit or when it is to stop. fullDisk.spec.ts and providerFleet.spec.ts pass with real processes.

--- a/src/control/controlRuntime.ts
+++ b/src/control/controlRuntime.ts
@@ -4,7 +4,7 @@
 import type { Outcome } from '../core/outcome.js'
 import { Runner, monotonicClock } from '../core/runner.js'
 import { exitCodes } from '../process/exitCodes.js'
-import { describeStartError, listenAll } from '../process/runningProcess.js'
+import { listenAll } from '../process/runningProcess.js'
 import type { Listener, RunningProcess, StartError } from '../process/runningProcess.js'
 import { EventLog } from '../journal/eventLog.js'
 import { createProcessLinks } from '../front-end/processLinks.js'
@@ -15,15 +15,13 @@
 import { DiskUse } from '../observability/diskUse.js'
 import type { Log } from '../observability/log.js'
 import { Metrics, metricsListeners } from '../observability/metrics.js'
-import type { DiskError } from '../replicated-log/diskFormat.js'
-import { openReplica } from '../replicated-log/replicaCreation.js'
-import type { OpenReplica } from '../replicated-log/replicaCreation.js'
 import { diskSize } from '../replicated-log/storageFolder.js'
 import type { ReplicaAdmission } from '../replicated-log/replicaAdmission.js'
-import type { Replica } from '../replicated-log/types.js'
 import type { SecretFile } from '../process/secretFile.js'
 import { ControlOutbox } from './controlOutbox.js'
 import { createControlWorld } from './controlWorld.js'
+import { openStore } from './openStore.js'
+import type { StoreOptions } from './openStore.js'
 import type { ControlAnswer, ControlInput, ControlMessage, ControlTables } from './types.js'
 
 /** The parts of the process that its front end uses. */
@@ -43,39 +41,26 @@
 }
 
 /** The options of a control host. */
-export interface ControlRuntimeOptions {
+export interface ControlRuntimeOptions extends StoreOptions {
   readonly self: Member
   readonly seeds: readonly Seed[]
   readonly fleetKeys: SecretFile
-  readonly dataFolder: string
-  /** The initial group, if this host may create it in an empty data folder; null if it must join an existing group. */
-  readonly founders: readonly Replica[] | null
   readonly admission: ReplicaAdmission
   /** Time without a report after which a backend server is considered gone, in milliseconds. */
   readonly reportExpiryMs: number
   /** Between which hosts gossip travels; defaults to `epidemic`, a few random hosts. */
   readonly dissemination?: DisseminationName
   readonly metrics: Address | undefined
-  readonly log: Log
   createFrontEnd (context: ControlContext): ControlFrontEnd
 }
 
-const openStore = async ({ dataFolder, self, founders, log }: ControlRuntimeOptions, metrics: Metrics): Promise<Outcome<OpenReplica, DiskError>> =>
-  await openReplica(dataFolder, {
-    host: self.host,
-    founders: founders === null ? null : { voters: founders, learners: [] },
-    onLost: error => {
-      metrics.lostReplicas.inc()
-      log.error({ reason: describeStartError(error) }, 'the replica in the data folder cannot be used; joining as a new one')
-    },
-    onSnapshotSkipped: reason => { log.warn({ reason }, 'no room for a snapshot; the log stays as it is') }
-  })
-
 const ignoreSignal = (): void => {}
 
 /** Starts a control host. Returns an error if it cannot start. */
 export const runControl = async (options: ControlRuntimeOptions): Promise<Outcome<RunningProcess, StartError>> => {
   const { self, seeds, log } = options
+  // A limit on file size refuses a write too; by default its signal would end the process.
+  process.on('SIGXFSZ', ignoreSignal)
   const metrics = new Metrics()
   const opened = await openStore(options, metrics)
   if (opened.tag === 'error') return opened
@@ -121,8 +106,6 @@
       process.exit(exitCodes.diskFailed)
     }
   })
-  // A limit on file size refuses a write too; by default its signal would end the process.
-  process.on('SIGXFSZ', ignoreSignal)
   const runner = new Runner(world, row => { outbox.deliver(row) })
 
   const listening = await listenAll([
