--- a/src/control/controlRuntime.ts
+++ b/src/control/controlRuntime.ts
@@ -1,9 +1,7 @@
 /** Runs a control host: connects its world to the disk, the front end for operators and the links to other processes. */
 
-import { randomUUID } from 'node:crypto'
 import { ok } from '../core/outcome.js'
 import type { Outcome } from '../core/outcome.js'
-import { toId } from '../core/id.js'
 import { Runner, monotonicClock } from '../core/runner.js'
 import { exitCodes } from '../process/exitCodes.js'
 import { listenAll } from '../process/runningProcess.js'
@@ -18,15 +16,14 @@
 import type { Log } from '../observability/log.js'
 import { HandlerFaults } from '../observability/handlerFaults.js'
 import { Metrics, metricsListeners } from '../observability/metrics.js'
-import { DiskStore, createReplica, hasReplica } from '../replicated-log/diskStore.js'
 import { diskSize } from '../replicated-log/storageFolder.js'
 import type { ReplicaAdmission } from '../replicated-log/replicaAdmission.js'
-import { foundingImage } from '../replicated-log/replicaTables.js'
-import type { Replica, ReplicaId } from '../replicated-log/types.js'
 import type { FaultLog } from '../process/containment.js'
 import type { SecretFile } from '../process/secretFile.js'
 import { ControlOutbox } from './controlOutbox.js'
 import { createControlWorld } from './controlWorld.js'
+import { openStore } from './openStore.js'
+import type { StoreOptions } from './openStore.js'
 import type { ControlAnswer, ControlInput, ControlMessage, ControlTables } from './types.js'
 
 /** The parts of the process that its front end uses. */
@@ -47,45 +44,30 @@
 }
 
 /** The options of a control host. */
-export interface ControlRuntimeOptions {
+export interface ControlRuntimeOptions extends StoreOptions {
   readonly self: Member
   readonly seeds: readonly Seed[]
   readonly fleetKeys: SecretFile
-  readonly dataFolder: string
-  /** The initial group, if this host may create it in an empty data folder; null if it must join an existing group. */
-  readonly founders: readonly Replica[] | null
   readonly admission: ReplicaAdmission
   /** Time without a report after which a backend server is considered gone, in milliseconds. */
   readonly reportExpiryMs: number
   /** Between which hosts gossip travels; defaults to `epidemic`, a few random hosts. */
   readonly dissemination?: DisseminationName
   readonly metrics: Address | undefined
-  readonly log: Log
   createFrontEnd (context: ControlContext): ControlFrontEnd
 }
 
-// An empty folder gets a new replica id, which must be admitted to the group first: it must not vote in place of a replica whose disk
-// was lost.
-const openStore = async ({ dataFolder, self, founders, log }: ControlRuntimeOptions): ReturnType<typeof DiskStore.open> => {
-  if (!hasReplica(dataFolder)) {
-    const image = founders === null
-      ? { replica: toId<ReplicaId>(`${self.host}#${randomUUID()}`), term: 0, votedFor: null, snapshot: null, entries: [] }
-      : foundingImage(toId<ReplicaId>(`${self.host}#0`), { voters: founders, learners: [] })
-    const created = await createReplica(dataFolder, image)
-    if (created.tag === 'error') return created
-  }
-  return await DiskStore.open(dataFolder, reason => { log.warn({ reason }, 'no room for a snapshot; the log stays as it is') })
-}
-
 const ignoreSignal = (): void => {}
 
 /** Starts a control host. Returns an error if it cannot start. */
 export const runControl = async (options: ControlRuntimeOptions): Promise<Outcome<RunningProcess, StartError>> => {
   const { self, seeds, log } = options
-  const opened = await openStore(options)
+  // A limit on file size refuses a write too; by default its signal would end the process.
+  process.on('SIGXFSZ', ignoreSignal)
+  const metrics = new Metrics()
+  const opened = await openStore(options, metrics)
   if (opened.tag === 'error') return opened
   const { store, image } = opened.value
-  const metrics = new Metrics()
   const faults = new HandlerFaults(metrics, log)
   const diskUse = new DiskUse(metrics, log, diskSize(options.dataFolder))
   diskUse.record(store.bytes)
@@ -129,8 +111,6 @@
       process.exit(exitCodes.diskFailed)
     }
   })
-  // A limit on file size refuses a write too; by default its signal would end the process.
-  process.on('SIGXFSZ', ignoreSignal)
   const runner = new Runner(world, row => { outbox.deliver(row) })
 
   const listening = await listenAll([
