A signal during the start no longer ends a host; SIGQUIT stops it, and other harmless signals are logged

What operators saw: SIGHUP, the signal that says that the settings have changed, ended a process in the first part of its start, without a line in the log. SIGTERM there ended it by signal, not with code 0. SIGUSR2, SIGIO and SIGQUIT ended it at any time.

Cause: the handlers were the last thing that the start installed; until then the kernel's default acts.

Change: the launcher installs the handlers before it reads the program, and remembers what arrives. The program takes them over through one instance for each process (`ProcessSignals`, shared by a registered symbol, since launcher and program are two bundles). A request to stop is an abort signal that the start can look at: before anything is opened it ends with code 0, later on the graceful path. The binary does the same for its command `run`; its other commands still end by a signal.

Evidence: `platform/signalsDuringStart.spec.ts` holds a start at its first file (the program, behind the launcher) or at the settings by a named pipe, sends the signals and lets it go on.

The test double removes NODE_OPTIONS.

--- a/src/command-line/main.ts
+++ b/src/command-line/main.ts
@@ -12,6 +12,7 @@
 import { loadExpectations, replayTrace, unmetExpectations } from '../replay/replayTrace.js'
 import { describeSettingsError, loadSettings } from '../settings/loadSettings.js'
 import type { Settings } from '../settings/settingsSchema.js'
+import { createLog } from '../observability/log.js'
 import { renderSettingsReference } from '../settings/settingsReference.js'
 import { SecretFile } from '../process/secretFile.js'
 import { exitCodes } from '../process/exitCodes.js'
@@ -21,7 +22,7 @@
 import type { CommandOptions } from './operatorCommands.js'
 import { describeLine, joinLogs } from './joinedLog.js'
 import { renderEventReference } from '../journal/eventRegistry.js'
-import { stopOnSignals } from '../process/stopOnSignals.js'
+import { stopRequested, watchStopRequest } from '../process/stopRequest.js'
 import { describeStartError } from '../process/runningProcess.js'
 import { version } from './version.js'
 
@@ -42,9 +43,13 @@
 
 const runHost = async (options: CommandOptions): Promise<void> => {
   const settings = requireSettings(options.config)
+  const stopRequest = await watchStopRequest(createLog(settings.host, settings.log.level))
+  if (stopRequest.aborted) process.exit(exitCodes.success)
   const started = settings.role === 'entry' ? await startEntryProcess(settings) : await startControlProcess(settings)
   if (started.tag === 'error') return exitWithError(describeStartError(started.error), exitCodes.cannotStart)
-  stopOnSignals(started.value, exitOnError)
+  await stopRequested(stopRequest)
+  await started.value.stop()
+  process.exit(exitCodes.success)
 }
 
 const checkSettings = (options: CommandOptions): void => {
--- a/src/process/launcher.ts
+++ b/src/process/launcher.ts
@@ -7,6 +7,7 @@
 import { Script } from 'node:vm'
 import { CODE_CACHE_ARGUMENT } from './codeCache.js'
 import type { CodeCacheState } from './codeCache.js'
+import { ProcessSignals } from './processSignals.js'
 
 const PROGRAM_FILE = join(__dirname, 'program.cjs')
 const CACHE_COMMAND = 'make-code-cache'
@@ -33,6 +34,7 @@
 }
 
 const launch = (role: string | undefined): void => {
+  ProcessSignals.ofProcess()
   const cachedData = readCache(role)
   const script = new Script(wrapProgram(), { filename: PROGRAM_FILE, cachedData })
   const state: CodeCacheState = cachedData === undefined ? 'absent' : script.cachedDataRejected === true ? 'rejected' : 'used'
