A host goes on when its log cannot be written, and counts the lost lines

What operators saw: with a full disk behind the log, hosts of both roles ended with code 1 and, of course, without a line.

Cause: the log wrote to the runtime's standard output, whose error event had no listener, so it was thrown. For a file that stream also gives up after its first error, so a listener alone would have cost the log until the next start.

Change: one log output for each process. `rhubarbseam_log_lines_lost_total` tells how many.

What remains: a write to a file on a disk that hangs waits for it, as before.

--- a/src/observability/log.ts
+++ b/src/observability/log.ts
@@ -2,6 +2,7 @@
 
 import bunyan from 'bunyan'
 import type Logger from 'bunyan'
+import { logOutput } from './logOutput.js'
 
 /** The logger of a process. */
 export type Log = Logger
@@ -12,4 +13,4 @@
 
 /** Creates the logger of a process on the given host. */
 export const createLog = (host: string, level: LogLevel): Log =>
-  bunyan.createLogger({ name: 'rhubarbseam', host, level, serializers: { err: bunyan.stdSerializers.err } })
+  bunyan.createLogger({ name: 'rhubarbseam', host, streams: [{ level, stream: logOutput }], serializers: { err: bunyan.stdSerializers.err } })
--- a/src/observability/metrics.ts
+++ b/src/observability/metrics.ts
@@ -5,6 +5,7 @@
 import { Counter, Gauge, Histogram, Registry, collectDefaultMetrics } from 'prom-client'
 import type { MembershipTables } from '../membership/types.js'
 import type { Listener } from '../process/runningProcess.js'
+import { logOutput } from './logOutput.js'
 import { listenOn } from '../process/listen.js'
 import type { Address } from '../core/address.js'
 
@@ -34,6 +35,8 @@
   readonly members = new Gauge({ name: 'rhubarbseam_members', help: 'Members of the fleet, by state', labelNames: ['state'], registers: [this.registry] })
   readonly backends = new Gauge({ name: 'rhubarbseam_backend_servers', help: 'Backend servers, by state', labelNames: ['state'], registers: [this.registry] })
 
+  readonly lostLogLines = new Counter({ name: 'rhubarbseam_log_lines_lost_total', help: 'Log lines that could not be written', registers: [this.registry], collect () { this.reset(); this.inc(logOutput.lostLines) } })
+
   /** Creates the metrics. Node.js runtime metrics are optional, because they cost a callback per garbage collection. */
   constructor (hasRuntimeMetrics = true) {
     if (hasRuntimeMetrics) collectDefaultMetrics({ register: this.registry, eventLoopMonitoringPrecision: EVENT_LOOP_SAMPLE_INTERVAL_MS })
