--- a/src/observability/metrics.ts
+++ b/src/observability/metrics.ts
@@ -7,6 +7,7 @@
 import type { FaultLog } from '../process/containment.js'
 import { HttpListener } from '../process/httpListener.js'
 import { parseUrl } from '../process/requestUrl.js'
+import { logOutput } from './logOutput.js'
 import type { Address } from '../core/address.js'
 
 const LATENCY_BUCKETS_SECONDS = [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10]
@@ -37,6 +38,8 @@
   readonly members = new Gauge({ name: 'rhubarbseam_members', help: 'Members of the fleet, by state', labelNames: ['state'], registers: [this.registry] })
   readonly backends = new Gauge({ name: 'rhubarbseam_backend_servers', help: 'Backend servers, by state', labelNames: ['state'], registers: [this.registry] })
 
+  readonly lostLogLines = new Counter({ name: 'rhubarbseam_log_lines_lost_total', help: 'Log lines that could not be written', registers: [this.registry], collect () { this.reset(); this.inc(logOutput.lostLines) } })
+
   /** Creates the metrics. Node.js runtime metrics are optional, because they cost a callback per garbage collection. */
   constructor (hasRuntimeMetrics = true) {
     if (hasRuntimeMetrics) collectDefaultMetrics({ register: this.registry, eventLoopMonitoringPrecision: EVENT_LOOP_SAMPLE_INTERVAL_MS })
