--- a/src/command-line/main.ts
+++ b/src/command-line/main.ts
@@ -43,9 +43,10 @@
 
 const runHost = async (options: CommandOptions): Promise<void> => {
   const settings = requireSettings(options.config)
-  const stopRequest = await watchStopRequest(createLog(settings.host, settings.log.level))
-  if (stopRequest.aborted) process.exit(exitCodes.success)
-  const started = settings.role === 'entry' ? await startEntryProcess(settings) : await startControlProcess(settings)
+  const log = createLog(settings.host, settings.log.level)
+  const stopRequest = await watchStopRequest(log)
+  const started = settings.role === 'entry' ? await startEntryProcess(settings, log, stopRequest) : await startControlProcess(settings, log, stopRequest)
+  if (started.tag === 'error' && stopRequest.aborted) process.exit(exitCodes.success)
   if (started.tag === 'error') return exitWithError(describeStartError(started.error), exitCodes.cannotStart)
   await stopRequested(stopRequest)
   await started.value.stop()
--- a/src/control/controlProcess.ts
+++ b/src/control/controlProcess.ts
@@ -8,16 +8,19 @@
 import type { Outcome } from '../core/outcome.js'
 import { toId } from '../core/id.js'
 import { monotonicClock } from '../core/runner.js'
+import { HostAddresses } from '../process/hostAddresses.js'
+import { describeStartError } from '../process/runningProcess.js'
 import type { RunningProcess, StartError } from '../process/runningProcess.js'
 import { OperatorServer } from '../front-end/operatorServer.js'
 import type { Operator } from '../front-end/operatorServer.js'
 import { createMember } from '../membership/createMember.js'
-import { createLog } from '../observability/log.js'
+import type { Log } from '../observability/log.js'
 import { createReplica } from '../replicated-log/diskStore.js'
 import { OperatorAdmission } from '../replicated-log/replicaAdmission.js'
 import { foundingImage } from '../replicated-log/replicaTables.js'
 import type { Group, Replica, ReplicaId } from '../replicated-log/types.js'
 import { SecretFile } from '../process/secretFile.js'
+import { ADDRESS_WAIT_MS, StartWait } from '../process/startWait.js'
 import { toSeeds } from '../settings/seeds.js'
 import type { ControlSettings } from '../settings/settingsSchema.js'
 import { runControl } from './controlRuntime.js'
@@ -73,11 +76,14 @@
 }
 
 /** Starts a control host. Returns an error if it cannot start. */
-export const startControlProcess = async (settings: ControlSettings): Promise<Outcome<RunningProcess, StartError>> => {
-  const fleetKeys = SecretFile.open(settings.fleetKeyFile)
+export const startControlProcess = async (settings: ControlSettings, log: Log, stopRequest: AbortSignal): Promise<Outcome<RunningProcess, StartError>> => {
+  const wait = new StartWait(log, stopRequest)
+  const fleetKeys = await wait.retry(() => SecretFile.open(settings.fleetKeyFile), describeStartError)
   if (fleetKeys.tag === 'error') return fleetKeys
-  const operators = loadOperators(settings.operatorsFile)
+  const operators = await wait.retry(() => loadOperators(settings.operatorsFile), describeStartError)
   if (operators.tag === 'error') return operators
+  const addresses = await HostAddresses.claim(settings.link, new StartWait(log, stopRequest, ADDRESS_WAIT_MS))
+  if (addresses.tag === 'error') return addresses
   return await runControl({
     self: createMember('control', settings, null),
     seeds: toSeeds(settings.seeds),
@@ -86,8 +92,9 @@
     founders: null,
     admission: new OperatorAdmission(),
     reportExpiryMs: ANNOUNCEMENT_EXPIRY_MS,
+    addresses: addresses.value,
     metrics: settings.metrics,
-    log: createLog(settings.host, settings.log.level),
+    log,
     createFrontEnd: ({ tables, push }) => {
       const server = new OperatorServer({ listen: settings.operators, operators: watchOperators(settings.operatorsFile, operators.value), tables, now: monotonicClock, push })
       return {
--- a/src/control/controlRuntime.ts
+++ b/src/control/controlRuntime.ts
@@ -6,7 +6,7 @@
 import { toId } from '../core/id.js'
 import { Runner, monotonicClock } from '../core/runner.js'
 import { exitCodes } from '../process/exitCodes.js'
-import { listenAll } from '../process/runningProcess.js'
+import type { HostAddresses } from '../process/hostAddresses.js'
 import type { Listener, RunningProcess, StartError } from '../process/runningProcess.js'
 import { EventLog } from '../journal/eventLog.js'
 import { createProcessLinks } from '../front-end/processLinks.js'
@@ -56,6 +56,7 @@
   readonly reportExpiryMs: number
   /** Between which hosts gossip travels; defaults to `epidemic`, a few random hosts. */
   readonly dissemination?: DisseminationName
+  readonly addresses: HostAddresses
   readonly metrics: Address | undefined
   readonly log: Log
   createFrontEnd (context: ControlContext): ControlFrontEnd
@@ -128,8 +129,7 @@
   process.on('SIGXFSZ', ignoreSignal)
   const runner = new Runner(world, row => { outbox.deliver(row) })
 
-  const listening = await listenAll([
-    { what: 'link', address: self.link, listen: async () => await hub.listen() },
+  const listening = await options.addresses.listenAll({ what: 'link', address: self.link, listen: async () => await hub.listen() }, [
     ...frontEnd.listeners,
     ...metricsListeners(options.metrics, metrics, () => { metrics.updateFleetGauges(tables) })
   ])
--- a/src/entry/entryProcess.ts
+++ b/src/entry/entryProcess.ts
@@ -10,9 +10,12 @@
 import type { ClientBlock } from '../lookup/blockTable.js'
 import { createMember } from '../membership/createMember.js'
 import type { Address } from '../core/address.js'
-import { createLog } from '../observability/log.js'
+import type { Log } from '../observability/log.js'
 import { Tracing } from '../observability/tracing.js'
+import { HostAddresses } from '../process/hostAddresses.js'
+import { describeStartError } from '../process/runningProcess.js'
 import { SecretFile } from '../process/secretFile.js'
+import { ADDRESS_WAIT_MS, StartWait } from '../process/startWait.js'
 import { toSeeds } from '../settings/seeds.js'
 import type { EntrySettings } from '../settings/settingsSchema.js'
 import type { StartError, RunningProcess } from '../process/runningProcess.js'
@@ -65,23 +68,27 @@
 }
 
 /** Starts an entry host. Returns an error if it cannot start. */
-export const startEntryProcess = async (settings: EntrySettings): Promise<Outcome<RunningProcess, StartError>> => {
-  const fleetKeys = SecretFile.open(settings.fleetKeyFile)
+export const startEntryProcess = async (settings: EntrySettings, log: Log, stopRequest: AbortSignal): Promise<Outcome<RunningProcess, StartError>> => {
+  const wait = new StartWait(log, stopRequest)
+  const fleetKeys = await wait.retry(() => SecretFile.open(settings.fleetKeyFile), describeStartError)
   if (fleetKeys.tag === 'error') return fleetKeys
-  const announcementKeys = SecretFile.open(settings.announcementKeyFile)
+  const announcementKeys = await wait.retry(() => SecretFile.open(settings.announcementKeyFile), describeStartError)
   if (announcementKeys.tag === 'error') return announcementKeys
   const blocks = settings.clientBlocksFile === undefined ? ok(new BlockTable([])) : loadClientBlocks(settings.clientBlocksFile)
   if (blocks.tag === 'error') return blocks
+  const addresses = await HostAddresses.claim(settings.link, new StartWait(log, stopRequest, ADDRESS_WAIT_MS))
+  if (addresses.tag === 'error') return addresses
   return await runEntry({
     self: createMember('entry', settings, settings.callers),
     seeds: toSeeds(settings.seeds),
     fleetKeys: fleetKeys.value,
     blocks: blocks.value,
     policies: settings.policies,
+    addresses: addresses.value,
     metrics: settings.metrics,
     recordFile: settings.recordFile,
     tracing: settings.tracing.endpoint === undefined ? null : new Tracing(settings.tracing.endpoint, settings.tracing.sampleRatio, settings.host),
-    log: createLog(settings.host, settings.log.level),
+    log,
     createFrontEnd: context => createFrontEnd(settings, announcementKeys.value, context)
   })
 }
--- a/src/entry/entryRuntime.ts
+++ b/src/entry/entryRuntime.ts
@@ -15,7 +15,7 @@
 import type { DisseminationName } from '../gossip/disseminationRegistry.js'
 import { openRecorder } from '../journal/recorder.js'
 import type { SecretFile } from '../process/secretFile.js'
-import { listenAll } from '../process/runningProcess.js'
+import type { HostAddresses } from '../process/hostAddresses.js'
 import type { Listener, RunningProcess, StartError } from '../process/runningProcess.js'
 import { createEntryWorld, createPolicies } from './entryWorld.js'
 import type { PolicySettings } from './entryWorld.js'
@@ -53,6 +53,7 @@
   readonly policies: PolicySettings
   /** Between which hosts gossip travels; defaults to `epidemic`, a few random hosts. */
   readonly dissemination?: DisseminationName
+  readonly addresses: HostAddresses
   readonly metrics: Address | undefined
   /** Whether Node.js runtime metrics are collected; defaults to true. */
   readonly hasRuntimeMetrics?: boolean
@@ -116,8 +117,7 @@
   const eventLog = new EventLog(log)
   tables.journal.onAppend = row => { eventLog.write(row) }
   const frontEnd = options.createFrontEnd({ tables, metrics, tracing, log, push, isLeaving: () => tables.lifecycle.phase !== 'serving' })
-  const listening = await listenAll([
-    { what: 'link', address: self.link, listen: async () => await hub.listen() },
+  const listening = await options.addresses.listenAll({ what: 'link', address: self.link, listen: async () => await hub.listen() }, [
     ...frontEnd.listeners,
     ...metricsListeners(options.metrics, metrics, () => { updateGauges(metrics, tables) }, subject => explain(tables, subject))
   ])
--- /dev/null
+++ b/src/process/hostAddresses.ts
@@ -0,0 +1,53 @@
+/** The addresses that a host listens on. */
+
+import { createServer } from 'node:net'
+import type { Server } from 'node:net'
+import { fail, ok } from '../core/outcome.js'
+import type { Outcome } from '../core/outcome.js'
+import type { Address } from '../core/address.js'
+import { listenOn } from './listen.js'
+import { describeStartError } from './runningProcess.js'
+import type { Listener, StartError } from './runningProcess.js'
+import type { StartWait } from './startWait.js'
+
+const TRANSIENT_CODES = ['EADDRINUSE', 'EADDRNOTAVAIL']
+
+const tryListen = async ({ what, address, listen }: Listener): Promise<Outcome<null, StartError>> => {
+  try {
+    await listen()
+    return ok(null)
+  } catch (error) {
+    const { message: reason, code = '' } = error as NodeJS.ErrnoException
+    return fail({ kind: 'address-unusable', what, address: `${address.address}:${address.port}`, reason, isTransient: TRANSIENT_CODES.includes(code) })
+  }
+}
+
+const waitToListen = async (listener: Listener, wait: StartWait): Promise<Outcome<null, StartError>> =>
+  await wait.retry(async () => await tryListen(listener), describeStartError, error => error.kind === 'address-unusable' && error.isTransient)
+
+/**
+ * The addresses of a host that starts. The link address is held from the beginning. A process that stops gives up its link address
+ * last, so the start reads no data that an earlier process of the host still writes, and no time before that process ended.
+ */
+export class HostAddresses {
+  private constructor (readonly wait: StartWait, readonly linkHold: Server) {}
+
+  /** Holds the link address, once it is free. */
+  static async claim (link: Address, wait: StartWait): Promise<Outcome<HostAddresses, StartError>> {
+    const linkHold = createServer(socket => { socket.destroy() })
+    const held = await waitToListen({ what: 'link', address: link, listen: async () => await listenOn(linkHold, link) }, wait)
+    return held.tag === 'ok' ? ok(new HostAddresses(wait, linkHold)) : held
+  }
+
+  /** Listens on the link address and on the others. Returns an `address-unusable` error for the first that cannot be bound. */
+  async listenAll (link: Listener, others: readonly Listener[]): Promise<Outcome<null, StartError>> {
+    await new Promise(resolve => { this.linkHold.close(resolve) })
+    const linked = await tryListen(link)
+    if (linked.tag === 'error') return linked
+    for (const listener of others) {
+      const listening = await waitToListen(listener, this.wait)
+      if (listening.tag === 'error') return listening
+    }
+    return ok(null)
+  }
+}
--- a/src/process/runningProcess.ts
+++ b/src/process/runningProcess.ts
@@ -1,7 +1,5 @@
 /** The handle of a started process, and the errors of a start. */
 
-import { fail, ok } from '../core/outcome.js'
-import type { Outcome } from '../core/outcome.js'
 import type { Address } from '../core/address.js'
 import type { DiskError } from '../replicated-log/diskFormat.js'
 import type { SecretFileError } from './secretFile.js'
@@ -15,26 +13,13 @@
 /** The reason why a process cannot start. */
 export type StartError =
   | { readonly kind: 'file-unusable', readonly path: string, readonly reason: string }
-  | { readonly kind: 'address-unusable', readonly what: string, readonly address: string, readonly reason: string }
+  | { readonly kind: 'address-unusable', readonly what: string, readonly address: string, readonly reason: string, readonly isTransient: boolean }
   | SecretFileError
   | DiskError
 
 /** An address to listen on. `what` is its purpose, used in error messages. */
 export interface Listener { readonly what: string, readonly address: Address, readonly listen: () => Promise<unknown> }
 
-/** Listens on every address. Returns an `address-unusable` error for the first one that cannot be bound. */
-export const listenAll = async (listeners: readonly Listener[]): Promise<Outcome<null, StartError>> => {
-  for (const { what, address, listen } of listeners) {
-    try {
-      await listen()
-    } catch (error) {
-      const reason = error instanceof Error ? error.message : 'unknown'
-      return fail({ kind: 'address-unusable', what, address: `${address.address}:${address.port}`, reason })
-    }
-  }
-  return ok(null)
-}
-
 /** Formats an error as one line. */
 export const describeStartError = (error: StartError): string => {
   switch (error.kind) {
