--- a/src/control/lostReplica.spec.ts
+++ b/src/control/lostReplica.spec.ts
@@ -6,7 +6,9 @@
 import { toId } from '../core/id.js'
 import { createMember } from '../membership/createMember.js'
 import { createLog } from '../observability/log.js'
+import { HostAddresses } from '../process/hostAddresses.js'
 import { SecretFile } from '../process/secretFile.js'
+import { StartWait } from '../process/startWait.js'
 import { DiskStore } from '../replicated-log/diskStore.js'
 import { OperatorAdmission } from '../replicated-log/replicaAdmission.js'
 import type { Entry, Replica, ReplicaId } from '../replicated-log/types.js'
@@ -23,8 +25,12 @@
   writeFileSync(keyFile, 'k'.repeat(64))
   const fleetKeys = SecretFile.open(keyFile)
   if (fleetKeys.tag === 'error') throw new Error(fleetKeys.error.kind)
+  const link = { address: '127.0.0.1', port: 0 }
+  const addresses = await HostAddresses.claim(link, new StartWait(createLog('c1', 'fatal'), new AbortController().signal))
+  if (addresses.tag === 'error') throw new Error(addresses.error.kind)
   const started = await runControl({
-    self: createMember('control', { host: 'c1', region: 'n', zone: 'n1', link: { address: '127.0.0.1', port: 0 } }, null),
+    self: createMember('control', { host: 'c1', region: 'n', zone: 'n1', link }, null),
+    addresses: addresses.value,
     seeds: [],
     fleetKeys: fleetKeys.value,
     dataFolder: folder,
