A control host that starts while the process before it still stops doesn't touch its log

What callers could see: none reported. A process that was started before the earlier one of the host had stopped opened the data folder, cut off what looked like a torn frame and removed temporary files, and only then found its address taken (exit 4). If the earlier one was amid a write, that frame was cut off under it, acknowledged, and the next one was written behind a hole: a vote or an entry lost, and `log-corrupt` at the next start. A start that waits for the address would also go on with a state that the earlier process had left behind since.

Cause: the folder was opened before anything said that no other process has it.

Now the address for links is taken first and given back, as before, after the last write. Messages that come before the replica is open are dropped, as before the link.

On the code before (run in a scratch copy) the frame was cut off and the file removed; now both stay. The other specs of control/, fullDisk.spec.ts, providerFleet.spec.ts and fleet.spec.ts pass.

Ruled out: a lock on a file, which has no effect on the users' machines.

--- a/src/control/controlRuntime.ts
+++ b/src/control/controlRuntime.ts
@@ -62,8 +62,25 @@
   // A limit on file size refuses a write too; by default its signal would end the process.
   process.on('SIGXFSZ', ignoreSignal)
   const metrics = new Metrics()
+  // Messages that come before the replica is open are dropped, as on a link that is not there yet.
+  let opening: { readonly tables: ControlTables, readonly push: (row: ControlInput) => void } | null = null
+  const hub = createProcessLinks({
+    self: self.host,
+    listen: self.link,
+    fleetKeys: options.fleetKeys,
+    log,
+    metrics,
+    scopeOf: host => opening === null ? 'unknown' : linkScope(opening.tables, host),
+    onMessage: (from, message) => { opening?.push({ kind: 'message', from, message: message as ControlMessage }) }
+  })
+  // The process that has the address of the links has the data folder: the one before may still write while it stops.
+  const linking = await listenAll([{ what: 'link', address: self.link, listen: async () => await hub.listen() }])
+  if (linking.tag === 'error') return linking
   const opened = await openStore(options, metrics)
-  if (opened.tag === 'error') return opened
+  if (opened.tag === 'error') {
+    hub.close()
+    return opened
+  }
   const { store, image } = opened.value
   const diskUse = new DiskUse(metrics, log, diskSize(options.dataFolder))
   diskUse.record(store.bytes)
@@ -75,15 +92,7 @@
     metrics.ticks.inc()
     runner.push(row)
   }
-  const hub = createProcessLinks({
-    self: self.host,
-    listen: self.link,
-    fleetKeys: options.fleetKeys,
-    log,
-    metrics,
-    scopeOf: host => linkScope(tables, host),
-    onMessage: (from, message) => { push({ kind: 'message', from, message: message as ControlMessage }) }
-  })
+  opening = { tables, push }
   const frontEnd = options.createFrontEnd({ tables, metrics, log, push })
   const outbox = new ControlOutbox({
     write: async records => {
@@ -109,7 +118,6 @@
   const runner = new Runner(world, row => { outbox.deliver(row) })
 
   const listening = await listenAll([
-    { what: 'link', address: self.link, listen: async () => await hub.listen() },
     ...frontEnd.listeners,
     ...metricsListeners(options.metrics, metrics, () => { metrics.updateFleetGauges(tables) })
   ])
