--- a/src/control/folderWait.spec.ts
+++ b/src/control/folderWait.spec.ts
@@ -3,11 +3,11 @@
 import { join } from 'node:path'
 import t from 'tap'
 import type { Test } from 'tap'
+import { toId } from '../core/id.js'
 import { createLog } from '../observability/log.js'
 import { Metrics } from '../observability/metrics.js'
 import { openStore } from './openStore.js'
 import type { StoreOptions } from './openStore.js'
-import { toId } from '../core/id.js'
 
 // Guards against a control host that ends because its data folder is there only a moment later.
 
