--- a/src/replicated-log/tornLog.spec.ts
+++ b/src/replicated-log/tornLog.spec.ts
@@ -132,6 +132,12 @@
   t.equal(describe(bytes), 'log-corrupt')
 })
 
+t.test('a torn frame whose contents hold a whole frame counts as damaged, never as one that continues the log', async t => {
+  const first = encodeRecord(vote(1))
+  const content = Buffer.concat([Buffer.alloc(100, 'x'), encodeRecord(vote(7)), Buffer.alloc(100, 'x')])
+  t.equal(describe(Buffer.concat([first, Buffer.alloc(PAGE_BYTES), content])), 'log-corrupt')
+})
+
 t.test('the search for a frame behind a torn one is bounded however many frames its content seems to hold', async t => {
   const claim = Buffer.from(encodeRecord(vote(1)).subarray(8))
   const header = Buffer.alloc(8)
