--- a/src/control/controlRuntime.ts
+++ b/src/control/controlRuntime.ts
@@ -67,7 +67,10 @@
   process.on('SIGXFSZ', ignoreSignal)
   const metrics = new Metrics()
   const opened = await openStore(options, metrics)
-  if (opened.tag === 'error') return opened
+  if (opened.tag === 'error') {
+    await options.addresses.release()
+    return opened
+  }
   const { store, image } = opened.value
   const faults = new HandlerFaults(metrics, log)
   const diskUse = new DiskUse(metrics, log, diskSize(options.dataFolder))
--- a/src/process/hostAddresses.ts
+++ b/src/process/hostAddresses.ts
@@ -37,9 +37,12 @@
     return listening.tag === 'ok' ? ok(new HostAddresses(wait, heldLink)) : listening
   }
 
+  /** Gives the link address up, for a start that fails. */
+  async release (): Promise<void> { await this.heldLink.release() }
+
   /** Listens on the link address and on the others. Returns an `address-unusable` error for the first that cannot be bound. */
   async listenAll (link: Listener, others: readonly Listener[]): Promise<Outcome<null, StartError>> {
-    await this.heldLink.release()
+    await this.release()
     const linked = await tryListen(link)
     if (linked.tag === 'error') return linked
     for (const listener of others) {
