--- a/src/process/hostAddresses.ts
+++ b/src/process/hostAddresses.ts
@@ -25,6 +25,9 @@
 const waitToListen = async (listener: Listener, wait: StartWait): Promise<Outcome<null, StartError>> =>
   await wait.retry(async () => await tryListen(listener), describeStartError, error => error.kind === 'address-unusable' && error.isTransient)
 
+// A connection that cannot be accepted is no matter of a start.
+const createHold = (): Server => createServer(socket => { socket.destroy() }).on('error', () => {})
+
 /**
  * The addresses of a host that starts. The link address is held from the beginning. A process that stops gives up its link address
  * last, so the start reads no data that an earlier process of the host still writes, and no time before that process ended.
@@ -34,7 +37,7 @@
 
   /** Holds the link address, once it is free. */
   static async claim (link: Address, wait: StartWait): Promise<Outcome<HostAddresses, StartError>> {
-    const linkHold = createServer(socket => { socket.destroy() })
+    const linkHold = createHold()
     const held = await waitToListen({ what: 'link', address: link, listen: async () => await listenOn(linkHold, link) }, wait)
     return held.tag === 'ok' ? ok(new HostAddresses(wait, linkHold)) : held
   }
