--- a/src/process/hostAddresses.ts
+++ b/src/process/hostAddresses.ts
@@ -23,6 +23,7 @@
 const waitToListen = async (listener: Listener, wait: StartWait): Promise<Outcome<null, StartError>> =>
   await wait.retry(async () => await tryListen(listener), describeStartError, error => error.kind === 'address-unusable' && error.isTransient)
 
+// A connection that cannot be accepted is no matter of a start.
 /**
  * The addresses of a host that starts. The link address is held from the beginning. A process that stops gives up its link address
  * last, so the start reads no data that an earlier process of the host still writes, and no time before that process ended.
