One place says which id the first replica of a host has

No change of behaviour; the specs of control/, interruptedReplica.spec.ts, automaticGroup.spec.ts and providerFleet.spec.ts pass.

--- a/src/replicated-log/replicaCreation.ts
+++ b/src/replicated-log/replicaCreation.ts
@@ -11,7 +11,7 @@
 import { LOG_FILE, REPLICA_FILE, UNUSABLE_LOG_FILE, describeFailure, replaceFile } from './replicaFiles.js'
 import { NodeFolder } from './storageFolder.js'
 import type { StorageFolder } from './storageFolder.js'
-import { foundingImage, latestGroup } from './replicaTables.js'
+import { foundingImage, foundingReplicaId, latestGroup } from './replicaTables.js'
 import type { DiskImage, DiskRecord, Group, ReplicaId } from './types.js'
 
 /** What a host does with its data folder when it starts. */
@@ -27,9 +27,6 @@
 /** An open replica: its log, and the state that it holds. */
 export interface OpenReplica { readonly store: DiskStore, readonly image: DiskImage }
 
-/** The id of the first replica of a host. Only a host that founds the group has it. */
-export const foundingReplicaId = (host: HostId): ReplicaId => toId<ReplicaId>(`${host}#0`)
-
 // Must be admitted to the group first: it must not vote in place of a replica whose disk was lost.
 const joiningImage = (host: HostId): DiskImage => ({ replica: toId<ReplicaId>(`${host}#${randomUUID()}`), term: 0, votedFor: null, snapshot: null, entries: [] })
 
--- a/src/replicated-log/replicaTables.ts
+++ b/src/replicated-log/replicaTables.ts
@@ -1,5 +1,6 @@
 /** Builds the tables of a replica at startup from its disk image. */
 
+import { toId } from '../core/id.js'
 import type { HostId } from '../core/id.js'
 import { RowTable } from '../core/table.js'
 import type { Millis } from '../core/tick.js'
@@ -60,6 +61,9 @@
   }
 }
 
+/** The id of the first replica of a host. Only a host that founds the group has it. */
+export const foundingReplicaId = (host: HostId): ReplicaId => toId<ReplicaId>(`${host}#0`)
+
 /** Returns the initial disk image of a new group; apart from the replica's id it is identical on every founding member. */
 export const foundingImage = (replica: ReplicaId, group: Group): DiskImage => ({
   replica,
--- a/src/stand-ins/localControl.ts
+++ b/src/stand-ins/localControl.ts
@@ -16,6 +16,7 @@
 import { SecretFile } from '../process/secretFile.js'
 import type { RunningProcess, StartError } from '../process/runningProcess.js'
 import { AutomaticAdmission } from '../replicated-log/replicaAdmission.js'
+import { foundingReplicaId } from '../replicated-log/replicaTables.js'
 import type { Replica } from '../replicated-log/types.js'
 
 const ADDRESS = '127.0.0.1'
@@ -82,7 +83,7 @@
 
   #options (host: LocalHost): ControlRuntimeOptions {
     const seeds = this.hosts.slice(0, this.founders)
-    const founders: Replica[] = seeds.map(seed => ({ replica: toId(`${seed.host}#0`), host: toId(seed.host), link: seed.link }))
+    const founders: Replica[] = seeds.map(seed => ({ replica: foundingReplicaId(toId(seed.host)), host: toId(seed.host), link: seed.link }))
     return {
       self: createMember('control', { host: host.host, region: 'n', zone: 'n1', link: host.link }, null),
       seeds: seeds.filter(seed => seed !== host).map(seed => ({ host: toId(seed.host), link: seed.link })),
