--- a/src/membership/addressSeeds.ts
+++ b/src/membership/addressSeeds.ts
@@ -2,8 +2,7 @@
 
 import { toId } from '../core/id.js'
 import type { HostId } from '../core/id.js'
-import { foundingReplicaId } from '../replicated-log/replicaTables.js'
-import type { Replica } from '../replicated-log/types.js'
+import type { Replica, ReplicaId } from '../replicated-log/types.js'
 import type { Address } from '../core/address.js'
 import type { Seed } from './types.js'
 
@@ -14,5 +13,5 @@
 /** Returns the initial group, which consists of all seeds; null for a host that is not a seed and must join an existing group. */
 export const foundersFromAddresses = (seeds: readonly Address[], self: Address): readonly Replica[] | null => {
   if (!seeds.some(seed => seed.address === self.address)) return null
-  return seeds.map(seed => ({ replica: foundingReplicaId(toId(seed.address)), host: toId<HostId>(seed.address), link: { address: seed.address, port: self.port } }))
+  return seeds.map(seed => ({ replica: toId<ReplicaId>(`${seed.address}#0`), host: toId<HostId>(seed.address), link: { address: seed.address, port: self.port } }))
 }
