--- a/src/control/controlProcess.ts
+++ b/src/control/controlProcess.ts
@@ -15,9 +15,9 @@
 import type { Operator } from '../front-end/operatorServer.js'
 import { createMember } from '../membership/createMember.js'
 import type { Log } from '../observability/log.js'
-import { createReplica, foundingReplicaId } from '../replicated-log/replicaCreation.js'
+import { createReplica } from '../replicated-log/replicaCreation.js'
 import { OperatorAdmission } from '../replicated-log/replicaAdmission.js'
-import { foundingImage } from '../replicated-log/replicaTables.js'
+import { foundingImage, foundingReplicaId } from '../replicated-log/replicaTables.js'
 import type { Group, Replica } from '../replicated-log/types.js'
 import { SecretFile } from '../process/secretFile.js'
 import { ADDRESS_WAIT_MS, StartWait } from '../process/startWait.js'
@@ -95,6 +95,7 @@
     addresses: addresses.value,
     metrics: settings.metrics,
     log,
+    stopRequest,
     createFrontEnd: ({ tables, faults, push }) => {
       const server = new OperatorServer({ listen: settings.operators, operators: watchOperators(settings.operatorsFile, operators.value), tables, faults, now: monotonicClock, push })
       return {
--- a/src/stand-ins/localControl.ts
+++ b/src/stand-ins/localControl.ts
@@ -18,6 +18,7 @@
 import type { RunningProcess, StartError } from '../process/runningProcess.js'
 import { StartWait } from '../process/startWait.js'
 import { AutomaticAdmission } from '../replicated-log/replicaAdmission.js'
+import { foundingReplicaId } from '../replicated-log/replicaTables.js'
 import type { Replica } from '../replicated-log/types.js'
 
 const ADDRESS = '127.0.0.1'
@@ -86,7 +87,7 @@
 
   #options (host: LocalHost, addresses: HostAddresses): ControlRuntimeOptions {
     const seeds = this.hosts.slice(0, this.founders)
-    const founders: Replica[] = seeds.map(seed => ({ replica: toId(`${seed.host}#0`), host: toId(seed.host), link: seed.link }))
+    const founders: Replica[] = seeds.map(seed => ({ replica: foundingReplicaId(toId(seed.host)), host: toId(seed.host), link: seed.link }))
     return {
       self: createMember('control', { host: host.host, region: 'n', zone: 'n1', link: host.link }, null),
       seeds: seeds.filter(seed => seed !== host).map(seed => ({ host: toId(seed.host), link: seed.link })),
