--- a/src/control/openStore.ts
+++ b/src/control/openStore.ts
@@ -1,5 +1,7 @@
 /** Opens the replica of a control host when it starts. */
 
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
 import { setTimeout as delay } from 'node:timers/promises'
 import type { Outcome } from '../core/outcome.js'
 import type { Millis } from '../core/tick.js'
@@ -55,3 +57,10 @@
     await delay(FOLDER_RETRY_INTERVAL_MS, undefined, { signal: stopRequest }).catch(() => {})
   }
 }
+
+/** Returns the data folder of a host for which none is set. It is lost with the machine. */
+export const temporaryDataFolder = (host: string, log: Log): string => {
+  const folder = join(tmpdir(), 'rhubarbseam', host)
+  log.warn({ folder }, 'no data folder is set; the log is in a temporary folder')
+  return folder
+}
--- a/src/process/exitCodes.ts
+++ b/src/process/exitCodes.ts
@@ -2,6 +2,7 @@
 
 export const exitCodes = {
   success: 0,
+  unhandledError: 1,
   wrongUse: 2,
   settingsInvalid: 3,
   cannotStart: 4,
