Connections that are opened and left alone no longer keep callers and other hosts out

What callers saw: with 1,500 idle connections on each port of an entry host and a control host, new connections were reset and requests got 502, until the idle ones were closed.

Cause: the descriptors of the process. Silent connections counted against them for 5 to 35 s on the callers' listener (Node.js checks its timeout for heads every 30 s) and up to 90 s on the others, none but the callers' had a limit, and at that limit it was the new connection that was dropped.

Why it works: ConnectionLimit decides, without I/O: a connection without a request is closed at 5 s; those beyond 256 from 1 s on, the oldest first; at the limit of the listener the oldest one gives way from 1 s on, and before that the new one is closed as before, since the request of a young one may be in transit. A connection that has sent a request is never chosen, so that reuse after idle time is as before. Cost: a timer each second only while there are silent connections, a set and a map operation for each request.

Ruled out: a bound by source address, as callers may share one; Node.js's own timeout with a shorter interval, which answers 400 on a connection that may just be sending its first request.

Remains: a burst beyond the descriptors within one second still costs new connections until the oldest are a second old.

--- a/src/process/httpListener.spec.ts
+++ b/src/process/httpListener.spec.ts
@@ -1,9 +1,12 @@
 import t from 'tap'
 import type { Test } from 'tap'
+import { spawnSync } from 'node:child_process'
 import { connect, createServer } from 'node:net'
+import type { Socket } from 'node:net'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { getStatus, sendRaw, statusLineOf } from '../stand-ins/rawRequest.js'
 import { waitUntil } from '../stand-ins/waiting.js'
+import { MAX_SILENT_MS, MIN_SILENT_MS } from './connectionLimit.js'
 import { HttpListener } from './httpListener.js'
 import type { HttpListenerOptions } from './httpListener.js'
 import { listenOn } from './listen.js'
@@ -125,3 +128,53 @@
   t.equal(await listener.listen({ ...LOOPBACK, port }), port)
   t.equal(await getStatus(port, '/'), SERVED)
 })
+
+const openSilent = async (t: Test, port: number, count: number): Promise<Socket[]> => {
+  const sockets: Socket[] = []
+  for (let n = 0; n < count; n += 1) {
+    const socket = connect(port, LOOPBACK.address)
+    socket.on('error', () => {})
+    socket.resume()
+    sockets.push(socket)
+    await new Promise(resolve => socket.once('connect', resolve))
+  }
+  t.teardown(() => { for (const socket of sockets) socket.destroy() })
+  return sockets
+}
+
+t.test('connections that are opened and left alone keep no caller out, and are closed', async t => {
+  const { port } = await start(t, { maxConnections: 20 })
+  const silent = await openSilent(t, port, 20)
+  await new Promise(resolve => setTimeout(resolve, MIN_SILENT_MS))
+  for (let n = 0; n < 30; n += 1) t.equal(await getStatus(port, '/served'), SERVED)
+  await waitUntil('the others are closed as well', () => silent.every(socket => socket.destroyed))
+})
+
+t.test('a connection that has sent a request may be used again later than a silent one is closed', async t => {
+  const { port } = await start(t, { server: { keepAliveTimeout: 30_000 } })
+  const [kept, silent] = await openSilent(t, port, 2)
+  if (kept === undefined || silent === undefined) return
+  let received = ''
+  kept.on('data', chunk => { received += chunk.toString() })
+  const send = async (count: number): Promise<void> => {
+    kept.write('GET /served HTTP/1.1\r\nhost: h\r\n\r\n')
+    await waitUntil('it is served', () => received.split(SERVED).length > count)
+  }
+  await send(1)
+  await waitUntil('the silent connection is closed', () => silent.destroyed)
+  await send(2)
+  t.notOk(kept.destroyed)
+})
+
+t.test('a request that arrived while the process was held up is served, though its connection was silent before', async t => {
+  const { port } = await start(t)
+  const [socket] = await openSilent(t, port, 1)
+  if (socket === undefined) return
+  let received = ''
+  socket.on('data', chunk => { received += chunk.toString() })
+  await getStatus(port, '/served')
+  socket.write('GET /served HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n')
+  spawnSync('sleep', [String((MAX_SILENT_MS + MIN_SILENT_MS) / 1_000)])
+  await waitUntil('it is answered or closed', () => socket.destroyed)
+  t.equal(statusLineOf(received), SERVED)
+})
--- a/src/process/httpListener.ts
+++ b/src/process/httpListener.ts
@@ -5,6 +5,7 @@
 import type { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
 import type { Address } from '../core/address.js'
+import { ConnectionLimit } from './connectionLimit.js'
 import { contain, failResponse, guardResponse } from './containment.js'
 import type { FaultLog } from './containment.js'
 import { listenOn } from './listen.js'
@@ -25,19 +26,26 @@
   readonly maxConnections?: number
 }
 
+/** Interval at which connections without a request are checked, while there are some. */
+const SILENCE_CHECK_INTERVAL_MS = 1_000
+
 const ignoreError = (): void => {}
 
 /** An HTTP listener. What a handler throws costs the request or connection that it handles. */
 export class HttpListener {
   readonly #server: Server
+  readonly #connections: ConnectionLimit<Socket>
+  #silenceTimer: NodeJS.Timeout | null = null
 
   constructor (readonly options: HttpListenerOptions) {
-    const { upgrade, rejectMalformed, maxConnections } = options
+    const { upgrade, rejectMalformed, maxConnections = Infinity } = options
+    this.#connections = new ConnectionLimit(maxConnections)
     this.#server = createServer(options.server ?? {}, (request, response) => { this.#handle(request, response) })
-    if (maxConnections !== undefined) this.#server.maxConnections = maxConnections
+    this.#server.on('connection', socket => { this.#accept(socket) })
     if (upgrade !== undefined) {
       this.#server.on('upgrade', (request, socket, head) => {
         socket.on('error', ignoreError)
+        this.#connections.markUsed(socket as Socket)
         this.guardConnection(socket, () => { upgrade(request, socket, head) })
       })
     }
@@ -93,7 +101,24 @@
     clearTimeout(timer)
   }
 
+  #accept (socket: Socket): void {
+    socket.once('close', () => { this.#connections.remove(socket) })
+    this.#connections.add(socket, performance.now())?.destroy()
+    this.#silenceTimer ??= this.#startSilenceTimer()
+  }
+
+  // After a pause of the process, requests that arrived in it are read before connections are closed for having sent none.
+  #startSilenceTimer (): NodeJS.Timeout {
+    return setTimeout(() => { setImmediate(this.#checkSilence) }, SILENCE_CHECK_INTERVAL_MS).unref()
+  }
+
+  readonly #checkSilence = (): void => {
+    for (const socket of this.#connections.takeExpired(performance.now())) socket.destroy()
+    this.#silenceTimer = this.#connections.hasSilent ? this.#startSilenceTimer() : null
+  }
+
   #handle (request: IncomingMessage, response: ServerResponse): void {
+    this.#connections.markUsed(request.socket)
     request.on('error', ignoreError)
     response.on('error', error => { this.fail(response, error) })
     this.guard(response, () => this.options.handle(request, response))
