A load beyond all numbers no longer makes the estimates of a server useless

What callers saw: refusals with 'retry-after: NaN', and a server whose load counted as infinite for good after one odd report. Cause: each of the three numbers of a load was checked by itself; the sum of two can be Infinity, and Infinity minus itself is not a number. Each number now has a bound, beyond which the load counts as not reported.

--- a/src/front-end/callerHeaders.ts
+++ b/src/front-end/callerHeaders.ts
@@ -78,13 +78,15 @@
 }
 
 const LOAD_VALUE_COUNT = 3
+/** More requests or slots than any server has. */
+const MAX_LOAD_VALUE = 1_000_000
 
 /** Parses a load of the form `RUNNING,WAITING,SLOTS`; null for anything else. */
 export const parseLoad = (text: string | null): ReportedLoad | null => {
   const values = (text ?? '').split(',').map(Number)
   const [running, waiting, slots] = values
   if (values.length !== LOAD_VALUE_COUNT || running === undefined || waiting === undefined || slots === undefined) return null
-  return values.every(value => Number.isFinite(value) && value >= 0) ? { running, waiting, slots } : null
+  return values.every(value => value >= 0 && value <= MAX_LOAD_VALUE) ? { running, waiting, slots } : null
 }
 
 /** Returns the value of a cookie; null when it is absent or empty. */
