An attempt with a timeout beyond 2^31 ms no longer times out after 1 ms

What callers saw: an unknown outcome at once for a request whose route and caller give it more than 24.8 days. Cause: a timer fires at once when its delay doesn't fit 31 bits. Evidence: longTimeout.spec.ts (independent review): ATTEMPT_TIMEOUT with a TimeoutOverflowWarning before, the answer now.

--- a/src/front-end/attemptClient.ts
+++ b/src/front-end/attemptClient.ts
@@ -12,6 +12,9 @@
 /** Shorter for other requests: they cannot be retried if the server closed the idle connection meanwhile. */
 const NON_IDEMPOTENT_KEEP_ALIVE_MS = 200
 
+/** Longest time that a timer can have; with a longer one it fires at once. */
+const MAX_TIMER_MS = 2 ** 31 - 1
+
 /** Servers that connections are kept to. Servers come back at new ports, so the number is limited. */
 const MAX_KEPT_ORIGINS = 8_192
 
@@ -207,7 +210,7 @@
   send (request: AttemptRequest): RunningAttempt {
     const { origin, path, method, headers, body, isIdempotent, mayKeepConnection, timeoutMs } = request
     // ResponseReader enforces the timeout: undici's timers are too coarse for a deadline.
-    const reader = new ResponseReader(timeoutMs, origin, this.#connections, this.maxBodyDurationMs)
+    const reader = new ResponseReader(Math.min(timeoutMs, MAX_TIMER_MS), origin, this.#connections, this.maxBodyDurationMs)
     const pool = isIdempotent ? this.#idempotentPool : this.#otherPool
     try {
       const reset = !mayKeepConnection && !this.#keptOrigins.has(origin)
