The suspicion of a request with more than 64 crashes no longer costs other hosts the message that carries it

What operators saw: nothing; probes and rumors of a host would have been dropped whole by all others. Cause: hosts accept 64 crashes of a request, but kept and sent any number of them. The lists have that bound now: crashes that still count go first, then those that were cleared, in an order on which all hosts agree, so that merges converge.

--- a/src/front-end/messageSchema.ts
+++ b/src/front-end/messageSchema.ts
@@ -1,8 +1,12 @@
 /** Schemas of the messages between processes, of operator commands and of announcements. Messages that do not match are dropped and counted. */
 
 import { z } from 'zod'
+import { MAX_CRASHES } from '../suspicion/types.js'
 
-const id = z.string().min(1).max(256)
+/** Longest id that hosts accept from each other, in characters. */
+export const MAX_ID_LENGTH = 256
+
+const id = z.string().min(1).max(MAX_ID_LENGTH)
 const longId = z.string().min(1).max(1024)
 /** A non-negative integer; also used for terms, sequence numbers, versions and status codes. */
 const index = z.number().int().nonnegative()
@@ -109,7 +113,7 @@
   z.object({ topic: z.literal('withdrawal'), digest: id }),
   z.object({ topic: z.literal('change'), change }),
   z.object({ topic: z.literal('vouch'), vouch }),
-  z.object({ topic: z.literal('suspicion'), suspicion: z.object({ suspect: id, crashes: z.array(z.string()).max(64), cleared: z.array(z.string()).max(64) }) })
+  z.object({ topic: z.literal('suspicion'), suspicion: z.object({ suspect: id, crashes: z.array(z.string()).max(MAX_CRASHES), cleared: z.array(z.string()).max(MAX_CRASHES) }) })
 ])
 
 const snapshot = z.object({
--- a/src/suspicion/suspicion.ts
+++ b/src/suspicion/suspicion.ts
@@ -4,6 +4,7 @@
 import { toId } from '../core/id.js'
 import type { Millis } from '../core/tick.js'
 import type { ExchangeRow } from '../exchange/types.js'
+import { MAX_CRASHES } from './types.js'
 import type { Suspicion, SuspicionRow, SuspicionTables, SuspectId } from './types.js'
 
 /** Number of crashes after which a request is refused on all hosts. */
@@ -22,6 +23,18 @@
 
 const union = (a: readonly string[], b: readonly string[]): string[] => [...new Set([...a, ...b])].sort()
 
+const isSameList = (a: readonly string[], b: readonly string[]): boolean => a.length === b.length && a.every((item, n) => item === b[n])
+
+// Keeps the crashes that still count before those that were cleared, in an order on which all hosts agree.
+const boundCrashes = (suspect: SuspectId, crashes: readonly string[], cleared: readonly string[]): Suspicion => {
+  const clearedCrashes = new Set(cleared)
+  const uncleared = crashes.filter(crash => !clearedCrashes.has(crash))
+  const kept = [...uncleared, ...crashes.filter(crash => clearedCrashes.has(crash))].slice(0, MAX_CRASHES)
+  const keptCrashes = new Set(kept)
+  const keptCleared = [...cleared.filter(crash => keptCrashes.has(crash)), ...cleared.filter(crash => !keptCrashes.has(crash))].slice(0, MAX_CRASHES)
+  return { suspect, crashes: kept.sort(), cleared: keptCleared.sort() }
+}
+
 /** Returns the number of crashes of a suspect that have not been cleared. */
 export const countUnclearedCrashes = (tables: SuspicionTables, suspect: SuspectId): number => {
   const suspicion = tables.suspicions.get(suspect)?.suspicion
@@ -33,10 +46,9 @@
 export const mergeSuspicion = (tables: SuspicionTables, update: Suspicion, now: Millis): SuspicionRow | null => {
   expireSuspicions(tables, now)
   const known = tables.suspicions.get(update.suspect)?.suspicion
-  const crashes = union(known?.crashes ?? [], update.crashes)
-  const cleared = union(known?.cleared ?? [], update.cleared)
-  if (known !== undefined && crashes.length === known.crashes.length && cleared.length === known.cleared.length) return null
-  const row: SuspicionRow = { suspicion: { suspect: update.suspect, crashes, cleared }, expiresAt: now + SUSPICION_RETENTION_MS }
+  const suspicion = boundCrashes(update.suspect, union(known?.crashes ?? [], update.crashes), union(known?.cleared ?? [], update.cleared))
+  if (known !== undefined && isSameList(suspicion.crashes, known.crashes) && isSameList(suspicion.cleared, known.cleared)) return null
+  const row: SuspicionRow = { suspicion, expiresAt: now + SUSPICION_RETENTION_MS }
   tables.suspicions.remove(update.suspect)
   tables.suspicions.put(row)
   return row
--- a/src/suspicion/types.ts
+++ b/src/suspicion/types.ts
@@ -7,6 +7,9 @@
 /** Digest of a request: service, workspace, method, path and body. */
 export type SuspectId = Id<'Suspect'>
 
+/** Crashes of one request that hosts keep and exchange. */
+export const MAX_CRASHES = 64
+
 /** Crashes attributed to a request, as hosts exchange them by gossip. */
 export interface Suspicion {
   readonly suspect: SuspectId
