A command whose request id is too long for the log of the other replicas is refused

What operators would see: a command with a request id of more than 256 characters, after which nothing is confirmed any more. Cause: the leader logged it, and the other replicas dropped each message that carried the entry as malformed. It gets 400 now.

--- a/src/front-end/operatorServer.ts
+++ b/src/front-end/operatorServer.ts
@@ -14,7 +14,7 @@
 import { describeConfiguration, describeStatus } from './operatorViews.js'
 import { PendingCalls } from './pendingCalls.js'
 import { readJson, sendJson } from './jsonBody.js'
-import { commandSchema } from './messageSchema.js'
+import { MAX_ID_LENGTH, commandSchema } from './messageSchema.js'
 
 const MAX_BODY_BYTES = 1024 * 1024
 /** Longest wait for the quorum. The outcome is unknown after that; a resend with the same request id returns it. */
@@ -106,6 +106,10 @@
       return
     }
     const requestId = request.headers['request-id']
+    if (requestId !== undefined && requestId.length > MAX_ID_LENGTH) {
+      sendJson(response, 400, { error: { kind: 'request-id-too-long', maxLength: MAX_ID_LENGTH } })
+      return
+    }
     const call = this.#pendingCalls.add(response, '')
     this.options.push({
       kind: 'propose',
