A control host whose log has reached the limit on file size stops as asked

What operators saw: a planned stop of a control host that ended by SIGXFSZ. Cause: the host set a handler for that signal, which Node.js ignores by itself, and took it off when it stopped; that restored the signal's default action for the last writes. Both are gone.

--- a/src/control/controlRuntime.ts
+++ b/src/control/controlRuntime.ts
@@ -58,13 +58,9 @@
   createFrontEnd (context: ControlContext): ControlFrontEnd
 }
 
-const ignoreSignal = (): void => {}
-
 /** Starts a control host. Returns an error if it cannot start. */
 export const runControl = async (options: ControlRuntimeOptions): Promise<Outcome<RunningProcess, StartError>> => {
   const { self, seeds, log } = options
-  // A limit on file size refuses a write too; by default its signal would end the process.
-  process.on('SIGXFSZ', ignoreSignal)
   const metrics = new Metrics()
   const opened = await openStore(options, metrics)
   if (opened.tag === 'error') {
@@ -127,7 +123,6 @@
   return ok({
     stop: async () => {
       frontEnd.close()
-      process.off('SIGXFSZ', ignoreSignal)
       runner.stop()
       await outbox.stop()
       hub.close()
