An HTTP client that fails on a backend server's bytes costs that connection, not the process

What callers would see: undici parses within the events of its sockets, so that an assertion of its own, on whatever a server sends or at the moment of a close, would be an uncaught error and end the process. One such case was met earlier and avoided by resuming its parser (`#watch`).

Cause: the same class as at the listeners: an input decides over the process, here that of a backend server.

Why it works: what an event of the socket throws is counted and logged as a handler's error, and the connection is closed, which reports its attempt as lost. In tests of the client alone the error stays uncaught, as before.

--- a/src/front-end/attemptClient.ts
+++ b/src/front-end/attemptClient.ts
@@ -189,11 +189,20 @@
 /** Sends attempts over connection pools, one for idempotent requests and one for the others. */
 export class AttemptClient {
   readonly #keptOrigins = new Set<string>()
-  readonly #connections = new BackendConnections()
-  readonly #idempotentPool = new Agent({ pipelining: 1, keepAliveTimeout: IDEMPOTENT_KEEP_ALIVE_MS, keepAliveMaxTimeout: IDEMPOTENT_KEEP_ALIVE_MS, connect: this.#connections.connect })
-  readonly #otherPool = new Agent({ pipelining: 1, keepAliveTimeout: NON_IDEMPOTENT_KEEP_ALIVE_MS, keepAliveMaxTimeout: NON_IDEMPOTENT_KEEP_ALIVE_MS, connect: this.#connections.connect })
+  readonly #connections: BackendConnections
+  readonly #idempotentPool: Agent
+  readonly #otherPool: Agent
+
+  /** `onFault` gets the errors that undici throws where nothing else can take them; without it, they are uncaught. */
+  constructor (readonly maxBodyDurationMs = MAX_BODY_DURATION_MS, onFault: (error: unknown) => void = error => { throw error }) {
+    this.#connections = new BackendConnections(onFault)
+    this.#idempotentPool = this.#createPool(IDEMPOTENT_KEEP_ALIVE_MS)
+    this.#otherPool = this.#createPool(NON_IDEMPOTENT_KEEP_ALIVE_MS)
+  }
 
-  constructor (readonly maxBodyDurationMs = MAX_BODY_DURATION_MS) {}
+  #createPool (keepAliveMs: number): Agent {
+    return new Agent({ pipelining: 1, keepAliveTimeout: keepAliveMs, keepAliveMaxTimeout: keepAliveMs, connect: this.#connections.connect })
+  }
 
   /** Keeps connections to a server from now on, because its responses name their requests, so that one sent twice is told apart. */
   keepConnections (origin: string): void {
--- a/src/front-end/attemptRelay.ts
+++ b/src/front-end/attemptRelay.ts
@@ -10,7 +10,7 @@
 import { endSpan } from '../observability/tracing.js'
 import type { Tracing } from '../observability/tracing.js'
 import type { ServerNotice } from '../server-notice/types.js'
-import { AttemptClient, classifyFailure, discardResponse } from './attemptClient.js'
+import { AttemptClient, MAX_BODY_DURATION_MS, classifyFailure, discardResponse } from './attemptClient.js'
 import type { BackendResponse, AttemptRequest } from './attemptClient.js'
 import type { CallerExchange } from './callerExchange.js'
 import type { CallerProtocol } from './callerProtocol.js'
@@ -41,9 +41,11 @@
 
 /** Sends attempts and relays their responses. */
 export class AttemptRelay {
-  readonly #client = new AttemptClient()
+  readonly #client: AttemptClient
 
-  constructor (readonly options: AttemptRelayOptions, readonly exchanges: ExchangeAccess) {}
+  constructor (readonly options: AttemptRelayOptions, readonly exchanges: ExchangeAccess) {
+    this.#client = new AttemptClient(MAX_BODY_DURATION_MS, error => { options.faults.record('backend servers', error) })
+  }
 
   /** Closes all connections to backend servers. */
   async close (): Promise<void> { await this.#client.close() }
--- a/src/front-end/backendConnections.ts
+++ b/src/front-end/backendConnections.ts
@@ -53,6 +53,9 @@
   /** The connection that is being read: undici parses what it reads before it reads again. */
   #reading: WatchedConnection | null = null
 
+  /** `onFault` gets what undici throws on an event of a connection, which is then closed. */
+  constructor (readonly onFault: (error: unknown) => void) {}
+
   readonly connect: buildConnector.connector = (options, callback) => {
     const origin = `http://${options.hostname}:${options.port}`
     this.#connector(options, (...result) => {
@@ -87,6 +90,7 @@
   }
 
   #watch (socket: Socket, origin: string): void {
+    this.#containFaults(socket)
     const meter = new OverheadMeter()
     const connection: WatchedConnection = { meter, resumeParser: null, hasEnded: false }
     // These listeners run before those of undici, which may complete the response within the same event and then throws if its
@@ -121,6 +125,20 @@
     }
   }
 
+  // undici parses within the events of its socket, so that bytes of a server that break it would end the process.
+  #containFaults (socket: Socket): void {
+    const emit = socket.emit.bind(socket) as (event: string | symbol, ...values: unknown[]) => boolean
+    socket.emit = (event: string | symbol, ...values: unknown[]): boolean => {
+      try {
+        return emit(event, ...values)
+      } catch (error) {
+        this.onFault(error)
+        socket.destroy()
+        return true
+      }
+    }
+  }
+
   #recordReset (origin: string): void {
     this.#resets.delete(origin)
     this.#resets.set(origin, performance.now())
