--- a/src/front-end/callerServer.spec.ts
+++ b/src/front-end/callerServer.spec.ts
@@ -1,6 +1,5 @@
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
-import { connect } from 'node:net'
 import t from 'tap'
 import type { Test } from 'tap'
 import { request } from 'undici'
@@ -9,6 +8,7 @@
 import { createLocations } from '../stand-ins/virtualTopology.js'
 import { startLocalEntry } from '../stand-ins/localEntry.js'
 import type { LocalEntry } from '../stand-ins/localEntry.js'
+import { sendRaw, statusLineOf } from '../stand-ins/rawRequest.js'
 
 const KEY = 'caller-key-0123456789'
 const TOKEN = 'announcement-token-of-tests'
@@ -76,17 +76,6 @@
   return { status: response.statusCode, text: await response.body.text(), ran: response.headers['rhubarbseam-ran'], reason: response.headers['rhubarbseam-reason'] }
 }
 
-const sendRaw = async (port: number, text: string): Promise<string> => await new Promise(resolve => {
-  const socket = connect(port, '127.0.0.1')
-  let received = ''
-  socket.on('data', chunk => { received += chunk.toString() })
-  socket.on('close', () => { resolve(received) })
-  socket.on('error', () => {})
-  socket.write(text)
-})
-
-const statusLine = (text: string): string => text.split('\r\n', 1)[0] ?? ''
-
 t.test('keys are removed from forwarded requests, and the workspace header is that of the key', async t => {
   const fixture = await start(t)
   const seen: Array<{ url: string | undefined, headers: IncomingMessage['headers'] }> = []
@@ -118,12 +107,12 @@
   const port = fixture.entry.callerPort
   const head = 'POST /services/coupons/item HTTP/1.1\r\nhost: x\r\n'
   const results = {
-    smuggled: statusLine(await sendRaw(port, `${head}content-length: 4\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\nGET /admin HTTP/1.1\r\n\r\n`)),
-    twoLengths: statusLine(await sendRaw(port, `${head}content-length: 4\r\ncontent-length: 5\r\n\r\nabcd`)),
-    notHttp: statusLine(await sendRaw(port, 'hello there\r\n\r\n')),
-    hugeHead: statusLine(await sendRaw(port, `GET /services/coupons/item HTTP/1.1\r\nhost: x\r\nx-long: ${'a'.repeat(20_000)}\r\n\r\n`)),
-    hugeBody: statusLine(await sendRaw(port, `${head}content-length: 900000\r\n\r\n`)),
-    noHost: statusLine(await sendRaw(port, 'GET /services/coupons/item HTTP/1.1\r\nconnection: close\r\n\r\n'))
+    smuggled: statusLineOf(await sendRaw(port, `${head}content-length: 4\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\nGET /admin HTTP/1.1\r\n\r\n`)),
+    twoLengths: statusLineOf(await sendRaw(port, `${head}content-length: 4\r\ncontent-length: 5\r\n\r\nabcd`)),
+    notHttp: statusLineOf(await sendRaw(port, 'hello there\r\n\r\n')),
+    hugeHead: statusLineOf(await sendRaw(port, `GET /services/coupons/item HTTP/1.1\r\nhost: x\r\nx-long: ${'a'.repeat(20_000)}\r\n\r\n`)),
+    hugeBody: statusLineOf(await sendRaw(port, `${head}content-length: 900000\r\n\r\n`)),
+    noHost: statusLineOf(await sendRaw(port, 'GET /services/coupons/item HTTP/1.1\r\nconnection: close\r\n\r\n'))
   }
   t.matchSnapshot(results)
   t.equal((await sendRequest(fixture, '/services/coupons/item')).status, 200)
