--- a/src/entry/readiness.spec.ts
+++ b/src/entry/readiness.spec.ts
@@ -6,7 +6,7 @@
 import { VirtualEntry } from '../stand-ins/virtualEntry.js'
 import { VirtualFleet } from '../stand-ins/virtualFleet.js'
 import { createLocations } from '../stand-ins/virtualTopology.js'
-import { isReady } from './readiness.js'
+import { findUnreadyReason } from './readiness.js'
 
 const plan: Plan = {
   version: 1,
@@ -23,7 +23,12 @@
   if (location === undefined) throw new Error('no location')
   const entry = new VirtualEntry(fleet, [location], new ConfigurationBuilder().run({ kind: 'put-plan', plan }).snapshot())
   const startedAt = fleet.now
-  const isReadyNow = (): boolean => isReady(entry.tables(location.host), fleet.now)
+  const reasons: Array<string | null> = []
+  const isReadyNow = (): boolean => {
+    const reason = findUnreadyReason(entry.tables(location.host), fleet.now)
+    reasons.push(reason)
+    return reason === null
+  }
   entry.addServer('s', 'one', 'n1', 6, 20)
   fleet.runUntil(lenderLoanExpiry(startedAt) - 1)
   const beforeLoansEnd = isReadyNow()
@@ -38,4 +43,5 @@
   fleet.push(toId(location.host), { kind: 'stop' })
   fleet.runFor(10)
   t.matchSnapshot({ beforeLoansEnd, after, withoutServer, withAnother, leaving: isReadyNow() })
+  t.same(reasons, ['allowance-on-loan', null, 'no-backend', null, 'stopping'])
 })
--- a/src/entry/readiness.ts
+++ b/src/entry/readiness.ts
@@ -5,6 +5,9 @@
 import type { Millis } from '../core/tick.js'
 import type { EntryTables } from './types.js'
 
+/** The condition that a host lacks to be ready. */
+export type UnreadyReason = 'stopping' | 'configuration-not-loaded' | 'no-service' | 'allowance-on-loan' | 'no-backend'
+
 const hasAvailableServer = (tables: EntryTables): boolean => {
   for (const row of tables.backends.rows()) {
     if (findOutOfServiceReason(tables, row) === null) return true
@@ -13,13 +16,16 @@
 }
 
 /**
- * Returns whether the host is ready: it has a confirmed configuration, an available backend server and token buckets that
- * refill, and is not shutting down.
+ * Returns why the host is not ready, or null if it is: it has a confirmed configuration, an available backend server and token
+ * buckets that refill, and is not shutting down.
  */
-export const isReady = (tables: EntryTables, now: Millis): boolean => {
+export const findUnreadyReason = (tables: EntryTables, now: Millis): UnreadyReason | null => {
   const { lifecycle, gossip, configuration, homeHistory } = tables
-  if (lifecycle.phase !== 'serving' || gossip.confirmedAt === null || configuration.services.size === 0) return false
+  if (lifecycle.phase !== 'serving') return 'stopping'
+  if (gossip.confirmedAt === null) return 'configuration-not-loaded'
+  if (configuration.services.size === 0) return 'no-service'
   // Token buckets are not refilled until every loan made before a restart has ended. Until then nearly every request would be
   // refused as over its rate.
-  return now >= lenderLoanExpiry(homeHistory.startedAt) && hasAvailableServer(tables)
+  if (now < lenderLoanExpiry(homeHistory.startedAt)) return 'allowance-on-loan'
+  return hasAvailableServer(tables) ? null : 'no-backend'
 }
--- a/src/front-end/lookupServer.ts
+++ b/src/front-end/lookupServer.ts
@@ -28,8 +28,8 @@
   readonly protocol: LookupProtocol
   readonly metrics: Metrics
   push (row: LookupReceived): void
-  /** Whether this host is ready for requests. */
-  isReady (): boolean
+  /** Returns the condition that this host lacks to be ready for requests, or null if it is ready. */
+  findUnreadyReason (): string | null
   /** Whether look-ups are answered; they get status 503 otherwise. */
   isServing (): boolean
 }
@@ -75,8 +75,9 @@
   }
 
   #answerReadiness (response: ServerResponse): void {
-    const ready = this.context.isReady()
-    sendJson(response, ready ? 200 : 503, { ready })
+    const missing = this.context.findUnreadyReason()
+    if (missing === null) sendJson(response, 200, { ready: true })
+    else sendJson(response, 503, { ready: false, missing })
   }
 
   #handleLookup (place: Place, response: ServerResponse): void {
