--- a/src/front-end/listenerFaults.spec.ts
+++ b/src/front-end/listenerFaults.spec.ts
@@ -103,7 +103,7 @@
     protocol: { parseRequest, createBody: throwError },
     metrics: new Metrics(false),
     faults,
-    isReady: () => true,
+    findUnreadyReason: () => null,
     isServing: () => true,
     push: ({ lookup }) => { setImmediate(() => { server.deliver({ kind: 'lookup-answer', lookup, error: null, hosts: [], ttlMs: 1, ticketZone: 'z' } as never) }) }
   })
