A frame that claims to hold long lists no longer ends a host

What operators saw: a peer without a fleet key sends one frame of 100 bytes to the link of a host of either role, and the host ends ("Reached heap limit", SIGABRT).

Cause: MessagePack says the length of a list or map before its elements, and the decoder allocates that many places before it reads the first. Twenty nested lists that claim 33,554,431 elements each ask for 20 such lists. Class: a length that input claims is believed.

Evidence: `platform/claimedLengths.spec.ts` failed before for both roles (run: heap limit reached, signal SIGABRT in place of code 0) and passes now.

Fix: every decode of MessagePack from outside is preceded by a walk over the bytes that allocates nothing that they ask for. A claimed length must fit into the bytes that remain, an element takes at least one byte and an entry two, nesting has 32 levels, and the value must end where the bytes end. So the elements that a decoder allocates are never more than the bytes of the frame. Extensions that the encoder does not write are refused: with one of them a frame could define records and be read otherwise than it was checked. Only links decode MessagePack from outside; the log on disk and the recorder read files of the host itself.

`frameCheck.spec.ts` holds that whatever the encoder writes is accepted and no part of it is, 2,000 seeded values, and that what is accepted is decoded, over mutated bytes.

--- a/src/front-end/linkCodec.ts
+++ b/src/front-end/linkCodec.ts
@@ -6,6 +6,7 @@
 import type { Outcome } from '../core/outcome.js'
 import type { ControlMessage } from '../control/types.js'
 import type { EntryMessage } from '../entry/types.js'
+import { isWholeFrame } from './frameCheck.js'
 import { messageSchema } from './messageSchema.js'
 
 /** Any message on a link. */
@@ -21,6 +22,7 @@
 
 /** Decodes a plain value. Invalid bytes return an error and never throw. */
 export const decodeFrame = (bytes: Buffer): Outcome<unknown, FrameError> => {
+  if (!isWholeFrame(bytes)) return fail({ kind: 'frame-malformed', reason: 'not one whole value' })
   try {
     return ok(packr.unpack(bytes) as unknown)
   } catch (error) {
