A peer without a fleet key can no longer end or hold up a host with one large frame

What operators saw: a peer that has not proved its identity sends a frame of 16 MB to the link of a host of either role; the host stands still for seconds and ends where memory is limited (512 MB of heap: SIGABRT).

Cause: the limit on frames was the one for messages of authenticated hosts from the first byte on, and the first frame was decoded whole before it was checked. Class: input before authentication.

Fix: until the other end has proved its identity, a connection may receive the bytes that the handshake takes (1,024, from the lengths in its schemas) in whatever frames; then it is closed. This holds for both ends, and counts bytes on the connection, because the library's limit on frames is fixed when a connection is accepted and does not cover pings or parts. A frame beyond that size is not decoded either, so at most one read of the socket is held. Of accepted links without a proof 1,024 are kept; the oldest is closed for a further one, as a peer with a key needs one round trip.

--- a/src/front-end/linkHub.spec.ts
+++ b/src/front-end/linkHub.spec.ts
@@ -2,13 +2,14 @@
 import type { Test } from 'tap'
 import { connect, createServer } from 'node:net'
 import type { AddressInfo } from 'node:net'
-import { WebSocket } from 'ws'
+import { WebSocket, WebSocketServer } from 'ws'
 import { toId } from '../core/id.js'
 import type { HostId } from '../core/id.js'
 import { createLog } from '../observability/log.js'
-import { encodeFrame } from './linkCodec.js'
+import { decodeFrame, encodeFrame, encodeMessage } from './linkCodec.js'
 import type { LinkMessage } from './linkCodec.js'
 import { LinkHub } from './linkHub.js'
+import { createNonce, createProof } from './linkProof.js'
 
 const KEY = Buffer.from('fleet-key-of-tests-01')
 const OTHER_KEY = Buffer.from('another-key-of-tests-2')
@@ -108,3 +109,81 @@
   clearInterval(timer)
   t.pass('messages are delivered over another connection')
 })
+
+const LARGE_BYTES = 1024 * 1024
+const STRANGERS = 1_100
+const RETRY_MS = 200
+
+const closed = async (socket: WebSocket): Promise<void> => { await new Promise(resolve => socket.once('close', resolve)) }
+
+const openAsStranger = (t: Test, port: number): WebSocket => {
+  const socket = new WebSocket(`ws://127.0.0.1:${port}`, { perMessageDeflate: false })
+  socket.on('error', () => {})
+  t.teardown(() => { socket.terminate() })
+  return socket
+}
+
+t.test('a peer that has not proved its identity is closed when it sends more than the handshake', async t => {
+  const b = await start(t, 'b', [KEY])
+  const inputs: Readonly<Record<string, (socket: WebSocket) => void>> = {
+    'one frame': socket => { socket.send(Buffer.alloc(LARGE_BYTES)) },
+    'parts of a frame': socket => { for (let n = 0; n < 100; n += 1) socket.send(Buffer.alloc(100), { fin: false }) },
+    pings: socket => { for (let n = 0; n < 100; n += 1) socket.ping(Buffer.alloc(100)) }
+  }
+  for (const [what, send] of Object.entries(inputs)) {
+    const socket = openAsStranger(t, b.port)
+    await new Promise(resolve => socket.once('message', resolve))
+    const rejected = b.malformed.length
+    const isClosed = closed(socket)
+    send(socket)
+    await isClosed
+    t.same(b.malformed.slice(rejected), ['too many bytes before the handshake'], what)
+  }
+})
+
+// A listener of the test's own: it proves its identity, or sends a large frame first.
+const startListener = async (t: Test, isHonest: boolean): Promise<number> => {
+  const server = new WebSocketServer({ port: 0, host: '127.0.0.1', perMessageDeflate: false })
+  t.teardown(() => { server.close() })
+  server.on('connection', (socket, { socket: connection }) => {
+    const ownNonce = createNonce()
+    socket.on('error', () => {})
+    socket.once('message', data => {
+      const frame = decodeFrame(data as Buffer)
+      const { nonce } = (frame.tag === 'ok' ? frame.value : {}) as { nonce: string }
+      connection.cork()
+      socket.send(isHonest ? encodeFrame({ host: 'b', proof: createProof(KEY, 'listener', toId<HostId>('b'), nonce, ownNonce) }) : Buffer.alloc(LARGE_BYTES))
+      for (let after = 0; after < 1_000; after += 1) socket.send(encodeMessage({ kind: 'fetch', after }))
+      connection.uncork()
+    })
+    socket.send(encodeFrame({ nonce: ownNonce }))
+  })
+  await new Promise(resolve => server.once('listening', resolve))
+  return (server.address() as AddressInfo).port
+}
+
+t.test('messages directly behind the welcome do not count as bytes before it', async t => {
+  const a = await start(t, 'a', [KEY])
+  a.hub.send(toId<HostId>('b'), { address: '127.0.0.1', port: await startListener(t, true) }, fetch)
+  await waitUntil(() => a.received.length === 1_000)
+  t.same(a.malformed, [])
+})
+
+t.test('a listener that sends a large frame before its proof is closed', async t => {
+  const a = await start(t, 'a', [KEY])
+  a.hub.send(toId<HostId>('b'), { address: '127.0.0.1', port: await startListener(t, false) }, fetch)
+  await waitUntil(() => a.malformed.length > 0)
+  t.same(a.malformed, ['too many bytes before the handshake'])
+  t.same(a.received, [])
+})
+
+t.test('peers that open links and leave them alone do not keep hosts out', async t => {
+  const b = await start(t, 'b', [KEY])
+  for (let n = 0; n < STRANGERS; n += 1) await new Promise(resolve => openAsStranger(t, b.port).once('open', resolve))
+  const a = await start(t, 'a', [KEY])
+  const send = (): void => { a.hub.send(toId<HostId>('b'), addressOf(b), fetch) }
+  const timer = setInterval(send, RETRY_MS)
+  await waitUntil(() => b.received.length > 0)
+  clearInterval(timer)
+  t.same(b.received[0], { from: 'a', message: fetch })
+})
--- a/src/front-end/linkHub.ts
+++ b/src/front-end/linkHub.ts
@@ -2,6 +2,7 @@
 
 import { WebSocket, WebSocketServer } from 'ws'
 import type { RawData } from 'ws'
+import type { Duplex } from 'node:stream'
 import { z } from 'zod'
 import { toId } from '../core/id.js'
 import type { HostId } from '../core/id.js'
@@ -13,10 +14,13 @@
 import { decodeFrame, decodeMessage, encodeFrame, encodeMessage } from './linkCodec.js'
 import type { LinkMessage } from './linkCodec.js'
 import { createNonce, createProof, isSameProof } from './linkProof.js'
+import { UnprovenPeers, limitReceivedBytes } from './unprovenPeer.js'
 
 const MAX_FRAME_BYTES = 16 * 1024 * 1024
 const UPGRADE_REQUIRED = 426
 const HANDSHAKE_TIMEOUT_MS = 1_000
+/** Accepted connections that have not finished the handshake; the oldest one is closed for a further one. */
+const MAX_PENDING_HANDSHAKES = 1_024
 /** Messages queued while a link is opened. Further ones are dropped; gossip makes up for them. */
 const MAX_QUEUED_MESSAGES = 256
 
@@ -26,9 +30,21 @@
 /** A replaced connection is closed after this time, so that messages in transit still arrive. */
 const REPLACED_LINK_CLOSE_DELAY_MS = 5_000
 
-const challengeSchema = z.strictObject({ nonce: z.string().length(32) })
-const helloSchema = z.strictObject({ host: z.string().min(1).max(256), nonce: z.string().length(32), proof: z.string().length(64) })
-const welcomeSchema = z.strictObject({ host: z.string().min(1).max(256), proof: z.string().length(64) })
+const NONCE_LENGTH = 32
+const PROOF_LENGTH = 64
+const MAX_HOST_LENGTH = 256
+const MAX_UTF8_BYTES = 3
+/** Names of fields, lengths and frame heads of the two messages that one end sends. */
+const HANDSHAKE_OVERHEAD_BYTES = 128
+/** The most that one end sends before its identity is proved: a challenge and the longer of hello and welcome. */
+const MAX_HANDSHAKE_BYTES = NONCE_LENGTH + MAX_HOST_LENGTH * MAX_UTF8_BYTES + NONCE_LENGTH + PROOF_LENGTH + HANDSHAKE_OVERHEAD_BYTES
+
+const nonceSchema = z.string().length(NONCE_LENGTH)
+const hostSchema = z.string().min(1).max(MAX_HOST_LENGTH)
+const proofSchema = z.string().length(PROOF_LENGTH)
+const challengeSchema = z.strictObject({ nonce: nonceSchema })
+const helloSchema = z.strictObject({ host: hostSchema, nonce: nonceSchema, proof: proofSchema })
+const welcomeSchema = z.strictObject({ host: hostSchema, proof: proofSchema })
 
 export interface LinkEvents {
   onMessage (from: HostId, message: LinkMessage): void
@@ -70,9 +86,17 @@
 
 const toBuffer = (data: RawData): Buffer => Array.isArray(data) ? Buffer.concat(data) : Buffer.from(data as Buffer)
 
+/** Decodes a frame of an end that has not proved its identity; null when it is malformed. */
+const decodeHandshake = (data: RawData): unknown => {
+  const bytes = toBuffer(data)
+  const frame = bytes.length > MAX_HANDSHAKE_BYTES ? null : decodeFrame(bytes)
+  return frame?.tag === 'ok' ? frame.value : null
+}
+
 /** Opens, accepts and uses all links of a process. */
 export class LinkHub {
   readonly #links = new Map<HostId, Link>()
+  readonly #unproven = new UnprovenPeers<WebSocket>(MAX_PENDING_HANDSHAKES)
   readonly #listener: HttpListener
   readonly #sockets = new WebSocketServer({ noServer: true, maxPayload: MAX_FRAME_BYTES, perMessageDeflate: false })
   #isClosed = false
@@ -82,7 +106,7 @@
       name: 'link',
       faults: options.faults,
       handle: (_request, response) => { response.writeHead(UPGRADE_REQUIRED).end() },
-      upgrade: (request, socket, head) => { this.#sockets.handleUpgrade(request, socket, head, accepted => { this.#guard(accepted, () => { this.#accept(accepted) }) }) }
+      upgrade: (request, socket, head) => { this.#sockets.handleUpgrade(request, socket, head, accepted => { this.#guard(accepted, () => { this.#accept(accepted, socket) }) }) }
     })
   }
 
@@ -163,14 +187,18 @@
     const ownNonce = createNonce()
     let expected: readonly string[] = []
     this.#attachListeners(link)
+    let liftLimit = (): void => {}
+    socket.once('upgrade', ({ socket: connection }) => {
+      // After the listener of the WebSocket, so that a frame that ends the handshake lifts the limit before what follows it is counted.
+      socket.once('open', () => { liftLimit = this.#limitHandshake(socket, connection) })
+    })
     const receive = (data: RawData): void => {
       if (link.isReady) {
         this.#recordActivity(link)
         this.#receive(link.host, toBuffer(data))
         return
       }
-      const frame = decodeFrame(toBuffer(data))
-      const value = frame.tag === 'ok' ? frame.value : null
+      const value = decodeHandshake(data)
       const challenge = challengeSchema.safeParse(value)
       const keys = this.options.fleetKeys()
       const signingKey = keys[0]
@@ -181,19 +209,32 @@
         return
       }
       const welcome = welcomeSchema.safeParse(value)
-      if (welcome.success && welcome.data.host === host && expected.some(proof => isSameProof(proof, welcome.data.proof))) this.#markReady(link)
-      else this.#reject(socket, 'listener failed to prove its identity')
+      if (welcome.success && welcome.data.host === host && expected.some(proof => isSameProof(proof, welcome.data.proof))) {
+        liftLimit()
+        this.#markReady(link)
+        return
+      }
+      this.#reject(socket, 'listener failed to prove its identity')
     }
     socket.on('message', data => { this.#guard(socket, () => { receive(data) }) })
     return link
   }
 
-  #accept (socket: WebSocket): void {
+  #limitHandshake (socket: WebSocket, connection: Duplex): () => void {
+    return limitReceivedBytes(connection, MAX_HANDSHAKE_BYTES, () => { this.#reject(socket, 'too many bytes before the handshake') })
+  }
+
+  #accept (socket: WebSocket, connection: Duplex): void {
     const ownNonce = createNonce()
     let link: Link | null = null
     const timer = setTimeout(() => { if (link === null) socket.terminate() }, HANDSHAKE_TIMEOUT_MS)
     socket.on('error', () => { socket.terminate() })
-    socket.on('close', () => { clearTimeout(timer) })
+    socket.on('close', () => {
+      clearTimeout(timer)
+      this.#unproven.remove(socket)
+    })
+    this.#unproven.add(socket)
+    const liftLimit = this.#limitHandshake(socket, connection)
     socket.send(encodeFrame({ nonce: ownNonce }))
     const receive = (data: RawData): void => {
       if (link !== null) {
@@ -201,8 +242,7 @@
         this.#receive(link.host, toBuffer(data))
         return
       }
-      const frame = decodeFrame(toBuffer(data))
-      const hello = helloSchema.safeParse(frame.tag === 'ok' ? frame.value : null)
+      const hello = helloSchema.safeParse(decodeHandshake(data))
       if (!hello.success) {
         this.#reject(socket, 'malformed hello')
         return
@@ -215,6 +255,8 @@
         return
       }
       socket.send(encodeFrame({ host: this.options.self, proof: createProof(key, 'listener', this.options.self, hello.data.nonce, ownNonce) }))
+      liftLimit()
+      this.#unproven.remove(socket)
       link = this.#acceptLink(host, socket)
     }
     socket.on('message', data => { this.#guard(socket, () => { receive(data) }) })
