Bodies that peers never finish no longer fill the memory of a control host

What operators saw: 30 connections to the control port that each send 30 MB of a body and never finish it make the host grow by 0.9 GB; the machine of a control host has 346 MB and ends it.

Cause: a body may have 32 MB, each one is held until it is whole, and nothing bounded how many are held at once, nor how long a peer may take without sending. Class: a bound for one input, none for their sum.

It holds at most 48 MB of unfinished bodies above 4 KB, which is the largest one and others beside it; reports up to 4 KB always pass. When there is no room, a body that has received no 64 KB for 2 s gives way, otherwise the newest, with 503 and Retry-After. So a peer that fills the room and stalls does not keep an operator's configuration out, and one that dribbles counts as stalled. A body that receives no 64 KB within 10 s, or is not whole after 300 s, gets 408; 32 MB take 134 s at 2 Mbit/s. A body that is too large gets 413, at once if its length says so. What is refused is freed, and what still follows is discarded.

--- a/src/front-end/announcementServer.ts
+++ b/src/front-end/announcementServer.ts
@@ -7,7 +7,8 @@
 import type { Metrics } from '../observability/metrics.js'
 import type { FaultLog } from '../process/containment.js'
 import { HttpListener } from '../process/httpListener.js'
-import { readJson, sendJson } from './jsonBody.js'
+import { BodyReader } from './bodyReader.js'
+import { parseJson, sendJson } from './jsonBody.js'
 import { announcementBodySchema } from './messageSchema.js'
 
 const MAX_BODY_BYTES = 4_096
@@ -36,6 +37,7 @@
 /** Serves `POST /v1/announcements`. */
 export class AnnouncementServer {
   readonly #listener: HttpListener
+  readonly #bodies = new BodyReader()
 
   constructor (readonly options: AnnouncementServerOptions) {
     this.#listener = new HttpListener({ name: 'announcements', faults: options.faults, handle: async (request, response) => { await this.#handle(request, response) } })
@@ -55,8 +57,9 @@
       sendJson(response, 401, { error: { reason: 'token-unknown' } }, true)
       return
     }
-    const body = await readJson(request, MAX_BODY_BYTES)
-    const parsed = announcementBodySchema.safeParse(body)
+    const body = await this.#bodies.readText(request, response, MAX_BODY_BYTES)
+    if (body === null) return
+    const parsed = announcementBodySchema.safeParse(parseJson(body))
     const address = request.socket.remoteAddress?.replace(/^::ffff:/, '')
     if (!parsed.success || address === undefined) {
       this.options.metrics.malformed.inc({ where: 'announcement' })
--- a/src/front-end/operatorServer.ts
+++ b/src/front-end/operatorServer.ts
@@ -13,7 +13,8 @@
 import { HttpListener } from '../process/httpListener.js'
 import { describeConfiguration, describeStatus } from './operatorViews.js'
 import { PendingCalls } from './pendingCalls.js'
-import { readJson, sendJson } from './jsonBody.js'
+import { BodyReader } from './bodyReader.js'
+import { parseJson, sendJson } from './jsonBody.js'
 import { commandSchema } from './messageSchema.js'
 
 const MAX_BODY_BYTES = 1024 * 1024
@@ -56,6 +57,7 @@
 /** Serves operators over HTTP. */
 export class OperatorServer {
   readonly #listener: HttpListener
+  readonly #bodies = new BodyReader()
   readonly #pendingCalls = new PendingCalls(OUTCOME_TIMEOUT_MS, call => { this.deliver({ kind: 'proposal-answer', call, receipt: null, error: { kind: 'outcome-unknown' } }) })
 
   constructor (readonly options: OperatorServerOptions) {
@@ -99,7 +101,9 @@
   }
 
   async #handleCommand (request: IncomingMessage, response: ServerResponse, operator: Operator): Promise<void> {
-    const parsed = commandSchema.safeParse(await readJson(request, MAX_BODY_BYTES))
+    const body = await this.#bodies.readText(request, response, MAX_BODY_BYTES)
+    if (body === null) return
+    const parsed = commandSchema.safeParse(parseJson(body))
     if (!parsed.success) {
       const issue = parsed.error.issues[0]
       sendJson(response, 400, { error: { kind: 'command-malformed', path: issue?.path.join('.'), detail: issue?.message } })
@@ -121,7 +125,9 @@
   }
 
   async #handleAdmission (request: IncomingMessage, response: ServerResponse, operator: Operator): Promise<void> {
-    const parsed = admissionSchema.safeParse(await readJson(request, MAX_BODY_BYTES))
+    const body = await this.#bodies.readText(request, response, MAX_BODY_BYTES)
+    if (body === null) return
+    const parsed = admissionSchema.safeParse(parseJson(body))
     if (!parsed.success) sendJson(response, 400, { error: { kind: 'command-malformed' } })
     else if (!operator.roles.includes('assign')) sendJson(response, 403, { error: { kind: 'role-missing', role: 'assign' } })
     else this.options.push({ kind: 'admit', call: this.#pendingCalls.add(response, ''), host: toId<HostId>(parsed.data.host) })
