Names that callers make up no longer stay in the metrics of an entry host for good

What operators saw: an entry host grows with each new name that a caller without a key sends as its Host, and its metrics page with it: 2,000 requests with names of 4,000 characters make 2,000 series and a page of 138 million characters.

Cause: the authority or service that a caller addresses became a label of the request counter and of the latency histogram before it was known whether the configuration has it, and a metric keeps each label. Class: a key of lasting state that input chooses.

Fix: a subject is a label only if the configuration has it when the request ends; all else counts as `unknown`.

Ruled out: the other labels. Reasons, results, kinds of messages and listeners are fixed sets; outcomes are status codes.

--- a/src/entry/entryProcess.ts
+++ b/src/entry/entryProcess.ts
@@ -3,6 +3,7 @@
 import { readFileSync } from 'node:fs'
 import { fail, ok } from '../core/outcome.js'
 import type { Outcome } from '../core/outcome.js'
+import { isConfigured } from '../exchange/destination.js'
 import { AnnouncementServer } from '../front-end/announcementServer.js'
 import { CallerServer } from '../front-end/callerServer.js'
 import { ServiceProtocol } from '../front-end/serviceProtocol.js'
@@ -52,7 +53,7 @@
 const createFrontEnd = (settings: EntrySettings, announcementKeys: SecretFile, context: EntryContext): EntryFrontEnd => {
   const { tables, metrics, faults, tracing, push, isLeaving } = context
   const { host, epoch } = tables.gossip.self
-  const callerServer = new CallerServer({ host: `${host}-${epoch.toString(36)}`, listen: settings.callers, protocol: new ServiceProtocol(), limits: settings.limits, metrics, faults, tracing, push, isLeaving })
+  const callerServer = new CallerServer({ host: `${host}-${epoch.toString(36)}`, listen: settings.callers, protocol: new ServiceProtocol(), limits: settings.limits, metrics, faults, tracing, push, isConfigured: target => isConfigured(tables.configuration, target), isLeaving })
   const announcementServer = new AnnouncementServer({ listen: settings.announcements, tokens: () => announcementKeys.lines(), metrics, faults, push, peers: () => findAnnouncementPeers(tables) })
   return {
     listeners: [
--- a/src/exchange/destination.ts
+++ b/src/exchange/destination.ts
@@ -6,7 +6,7 @@
 import type { Configuration } from '../configuration/configurationTables.js'
 import type { Service, Workspace } from '../configuration/types.js'
 import type { Route, SplitPart } from '../plan/types.js'
-import type { RefusalReason, RequestReceived } from './types.js'
+import type { RefusalReason, RequestReceived, RequestTarget } from './types.js'
 
 /** Maximum attempts of a request that addresses a service directly instead of a route. */
 export const MAX_SERVICE_ATTEMPTS = 4
@@ -55,6 +55,10 @@
   return service.openPaths.includes(pathname)
 }
 
+/** Whether the configuration has the service or authority that a request addresses. */
+export const isConfigured = ({ services, routes }: Pick<Configuration, 'services' | 'routes'>, target: RequestTarget): boolean =>
+  target.kind === 'service' ? services.has(target.service) : routes.has(target.authority)
+
 /** Returns the destination of a request, or the refusal reason if there is none. */
 export const findDestination = (configuration: Configuration, random: Random, request: RequestReceived): Destination | RefusalReason => {
   const { target, path } = request
--- a/src/front-end/callerExchange.ts
+++ b/src/front-end/callerExchange.ts
@@ -12,7 +12,7 @@
 export interface CallerExchange extends ConnectionRequest {
   readonly exchange: ExchangeId
   readonly connection: CallerConnection
-  /** The service or authority that the caller addressed; a label in metrics and traces. */
+  /** The service or authority that the caller addressed; named in traces, and in metrics if the configuration has it. */
   readonly subject: string
   readonly callerRequest: CallerRequest
   readonly request: IncomingMessage
--- a/src/front-end/callerServer.spec.ts
+++ b/src/front-end/callerServer.spec.ts
@@ -216,3 +216,10 @@
   ], [401, 400, 400, 200])
   t.equal(fixture.entry.tables.backends.size, 1)
 })
+
+t.test('a service of the configuration has metrics of its own, others share one label', async t => {
+  const fixture = await start(t)
+  for (const service of ['coupons', 'nothing', 'nobody']) await sendRequest(fixture, `/services/${service}/x`)
+  const { values } = await fixture.entry.metrics.requests.get()
+  t.same(new Set(values.map(({ labels }) => labels.service)), new Set(['coupons', 'unknown']))
+})
--- a/src/front-end/callerServer.ts
+++ b/src/front-end/callerServer.ts
@@ -5,7 +5,7 @@
 import { toId } from '../core/id.js'
 import type { ExchangeId } from '../core/id.js'
 import type { EntryOutput } from '../entry/types.js'
-import type { RequestReceived, RequestRefused } from '../exchange/types.js'
+import type { RequestReceived, RequestRefused, RequestTarget } from '../exchange/types.js'
 import { digestKey } from '../key-check/keyCheck.js'
 import type { LookupAnswered, LookupId } from '../lookup/types.js'
 import { parseTicket } from '../idempotency/recordPlacement.js'
@@ -13,6 +13,7 @@
 import { contain, guardResponse } from '../process/containment.js'
 import { HttpListener } from '../process/httpListener.js'
 import type { Address } from '../core/address.js'
+import { SubjectLabels } from '../observability/subjectLabels.js'
 import { endSpan } from '../observability/tracing.js'
 import { AttemptRelay } from './attemptRelay.js'
 import type { AttemptRelayOptions } from './attemptRelay.js'
@@ -37,6 +38,8 @@
   readonly host: string
   readonly listen: Address
   readonly limits: BodyLimits & { readonly headerBytes: number, readonly connections: number }
+  /** Whether the configuration has what a request addresses. */
+  readonly isConfigured: (target: RequestTarget) => boolean
   /** Whether the process is shutting down, so that connections are closed after each response. */
   readonly isLeaving: () => boolean
 }
@@ -49,6 +52,7 @@
   readonly #saturationLimit = new SaturationLimit()
   readonly #exchanges = new Map<ExchangeId, CallerExchange>()
   readonly #lookups = new Map<LookupId, ServerResponse>()
+  readonly #labels = new SubjectLabels()
   readonly #connections = new WeakMap<Socket, CallerConnection>()
   #idCount = 0
 
@@ -248,7 +252,7 @@
 
   #finishExchange (row: CallerExchange): void {
     if (!this.#exchanges.delete(row.exchange)) return
-    const { response, trace, subject } = row
+    const { response, trace, subject, callerRequest } = row
     row.connection.end(row)
     // A request that never started counts as not read.
     if (!row.isStarted) return
@@ -258,8 +262,9 @@
       this.options.push({ kind: 'caller-left', exchange: row.exchange })
     }
     const outcome = isComplete ? String(response.statusCode) : 'cut'
-    this.options.metrics.requests.inc({ service: subject, outcome })
-    this.options.metrics.latency.observe({ service: subject }, (performance.now() - row.receivedAt) / MS_PER_SECOND)
+    const service = this.#labels.labelOf(subject, this.options.isConfigured(callerRequest.target))
+    this.options.metrics.requests.inc({ service, outcome })
+    this.options.metrics.latency.observe({ service }, (performance.now() - row.receivedAt) / MS_PER_SECOND)
     if (trace !== null) endSpan(trace.span, outcome, !isComplete || response.statusCode >= 500)
   }
 
--- a/src/front-end/listenerFaults.spec.ts
+++ b/src/front-end/listenerFaults.spec.ts
@@ -44,6 +44,7 @@
     metrics: new Metrics(false),
     faults,
     tracing: null,
+    isConfigured: () => true,
     isLeaving: () => false,
     push: row => {
       pushed.push(row)
--- a/src/plan/routeTable.ts
+++ b/src/plan/routeTable.ts
@@ -21,6 +21,9 @@
     for (const routesOfAuthority of this.#byAuthority.values()) routesOfAuthority.sort((a, b) => b.prefix.length - a.prefix.length)
   }
 
+  /** Whether any route has this authority. */
+  has (authority: string): boolean { return this.#byAuthority.has(authority) }
+
   /** Returns the route for a request. The path may include a query string. */
   find (authority: string, path: string): Route | undefined {
     for (const route of this.#byAuthority.get(authority) ?? []) {
--- a/src/stand-ins/localEntry.ts
+++ b/src/stand-ins/localEntry.ts
@@ -7,6 +7,7 @@
 import { createEntryWorld, defaultPolicies } from '../entry/entryWorld.js'
 import type { EntryPolicies } from '../entry/entryWorld.js'
 import type { EntryInput, EntryOutput, EntryTables } from '../entry/types.js'
+import { isConfigured } from '../exchange/destination.js'
 import { AnnouncementServer } from '../front-end/announcementServer.js'
 import { CallerServer } from '../front-end/callerServer.js'
 import type { CallerProtocol } from '../front-end/callerProtocol.js'
@@ -83,6 +84,7 @@
     faults,
     tracing: options.tracing ?? null,
     push,
+    isConfigured: target => isConfigured(tables.configuration, target),
     isLeaving: () => tables.lifecycle.phase !== 'serving'
   })
   const announcements = new AnnouncementServer({
