--- a/src/exchange/requestSystem.ts
+++ b/src/exchange/requestSystem.ts
@@ -1,5 +1,6 @@
 /** Checks arriving requests: destination, profile, API key and constraints. Accepted requests continue to admission, or to the queue on open routes. */
 
+import { boundedText } from '../core/boundedText.js'
 import { NEVER } from '../core/tick.js'
 import type { Millis, System, Tick } from '../core/tick.js'
 import type { ServiceId } from '../core/id.js'
@@ -96,9 +97,12 @@
   return reason === 'overloaded' ? spreadOver(now - (request.readAt ?? now), usefulMs) : null
 }
 
-/** Returns the service that a request names; its authority if it addresses a route. */
+/** Longest name of a service or authority in a configuration. */
+const MAX_NAME_LENGTH = 256
+
+/** Returns the service that a request names; its authority if it addresses a route. The journal holds it, so it is bounded. */
 const requestedService = ({ target }: RequestReceived): ServiceId =>
-  target.kind === 'service' ? target.service : toId<ServiceId>(target.authority)
+  toId<ServiceId>(boundedText(target.kind === 'service' ? target.service : target.authority, MAX_NAME_LENGTH))
 
 const createExchange = (request: RequestReceived, { workspace, service, constraints }: AdmittedRequest, now: Millis): ExchangeRow => {
   const { timeoutMs, ...exchangeConstraints } = constraints
--- a/src/front-end/callerServer.ts
+++ b/src/front-end/callerServer.ts
@@ -2,6 +2,7 @@
 
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
+import { boundedText } from '../core/boundedText.js'
 import { toId } from '../core/id.js'
 import type { ExchangeId } from '../core/id.js'
 import type { EntryOutput } from '../entry/types.js'
@@ -113,7 +114,7 @@
   }
 
   #createExchangeId ({ requestId }: CallerRequest): ExchangeId {
-    const requested = requestId === null ? null : toId<ExchangeId>(requestId.slice(0, MAX_REQUEST_ID_LENGTH))
+    const requested = requestId === null ? null : toId<ExchangeId>(boundedText(requestId, MAX_REQUEST_ID_LENGTH))
     return requested === null || this.#exchanges.has(requested) ? toId<ExchangeId>(this.#nextId()) : requested
   }
 
