Requests are not sent over a new connection whose callers left meanwhile

What servers saw: requests of callers that had left more than half a second before (GONE).

Cause: a host dispatches a request and opens a connection for it. The events of one poll of the event loop may take long to handle on a host that lacks processor time. The caller's end that arrives meanwhile is read by the next poll, but the request was written as soon as the connection's own event was handled; the end cut it a moment later. Connections that were used before don't write at once: undici lets a poll pass first.

Change: a new connection is handed on only after one more poll. If it has closed by then, nothing was sent, and the attempt says so.

Ruled out, by trials: that a request which waits unread behind its caller's end is sent.

Kept connections take the same path as before.

--- a/src/front-end/attemptClient.spec.ts
+++ b/src/front-end/attemptClient.spec.ts
@@ -1,3 +1,5 @@
+import { subscribe, unsubscribe } from 'node:diagnostics_channel'
+import { Worker } from 'node:worker_threads'
 import t from 'tap'
 import type { Test } from 'tap'
 import { createServer } from 'node:net'
@@ -58,6 +60,40 @@
   })
 })
 
+const CLOSING_SERVER = `
+const { createServer } = require('node:net')
+const { parentPort, workerData } = require('node:worker_threads')
+const server = createServer(socket => {
+  socket.on('error', () => {})
+  if (workerData === 'reset') socket.resetAndDestroy()
+  else socket.destroy()
+})
+server.listen(0, '127.0.0.1', () => { parentPort.postMessage(server.address().port) })
+`
+const BUSY_MS = 100
+
+const occupyOnConnect = (message: unknown): void => {
+  (message as { socket: Socket }).socket.prependOnceListener('connect', () => {
+    const busyUntil = performance.now() + BUSY_MS
+    while (performance.now() < busyUntil);
+  })
+}
+
+// Guards against attempts that wait for their timeout, or count as sent, because their new connection closed before it was used.
+t.test('a connection that closes before it is used ends its attempt', async t => {
+  const client = new AttemptClient()
+  t.teardown(async () => { await client.close() })
+  const sendToClosing = async (how: 'reset' | 'close'): Promise<unknown> => {
+    const worker = new Worker(CLOSING_SERVER, { eval: true, workerData: how })
+    t.teardown(async () => { await worker.terminate() })
+    const port = await new Promise<number>(resolve => { worker.once('message', resolve) })
+    return await send(client, `http://127.0.0.1:${port}`, { timeoutMs: 5_000 })
+  }
+  subscribe('net.client.socket', occupyOnConnect)
+  t.teardown(() => unsubscribe('net.client.socket', occupyOnConnect))
+  for (const how of ['reset', 'close'] as const) t.same(await sendToClosing(how), { kind: 'not-sent', reason: 'CONNECTION_UNUSED' }, how)
+})
+
 t.test('a cancelled attempt closes its connection', async t => {
   const client = new AttemptClient()
   t.teardown(async () => { await client.close() })
--- a/src/front-end/attemptClient.ts
+++ b/src/front-end/attemptClient.ts
@@ -5,7 +5,7 @@
 import { Agent } from 'undici'
 import type { Dispatcher } from 'undici'
 import type { AttemptResult } from '../exchange/types.js'
-import { BackendConnections } from './backendConnections.js'
+import { BackendConnections, UNUSED_CONNECTION_CODE } from './backendConnections.js'
 
 /** Longest idle time after which a connection is reused for an idempotent request. */
 const IDEMPOTENT_KEEP_ALIVE_MS = 4_000
@@ -27,7 +27,7 @@
   constructor (readonly code: 'ATTEMPT_TIMEOUT' | 'ABORTED' | 'ANSWER_RESET') { super(code) }
 }
 
-const NOT_SENT_CODES: ReadonlySet<string> = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL', 'UND_ERR_CONNECT_TIMEOUT'])
+const NOT_SENT_CODES: ReadonlySet<string> = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL', 'UND_ERR_CONNECT_TIMEOUT', UNUSED_CONNECTION_CODE])
 
 /** The HTTP request of one attempt. */
 export interface AttemptRequest {
--- a/src/front-end/backendConnections.ts
+++ b/src/front-end/backendConnections.ts
@@ -11,6 +11,9 @@
 /** Bytes of chunk framing for each byte of the body; a chunk of one byte has five. */
 const MAX_FRAMING_PER_BODY_BYTE = 8
 
+/** Code of the error when a new connection was closed before anything was sent. */
+export const UNUSED_CONNECTION_CODE = 'CONNECTION_UNUSED'
+
 /** An answer has more bytes around its body than any sound server sends. */
 class OverheadError extends Error {
   readonly code = 'ANSWER_OVERHEAD'
@@ -18,6 +21,16 @@
   constructor () { super('the answer has too many bytes outside its body') }
 }
 
+/** A new connection was closed before anything was sent. */
+class UnusedConnectionError extends Error {
+  readonly code = UNUSED_CONNECTION_CODE
+
+  constructor () { super('the connection was closed before anything was sent') }
+}
+
+// The events of one poll may take long to handle. What arrived meanwhile, such as the end of a caller's connection, is read by the next.
+const afterNextPoll = (step: () => void): void => { setImmediate(() => setImmediate(step)) }
+
 /** Counts the bytes that one answer has outside its body. */
 class OverheadMeter {
   #readBytes = 0
@@ -58,8 +71,15 @@
     this.#connector(options, (...result) => {
       const socket = result[1]
       // undici leaves the socket out when there is an error.
-      if (socket != null) this.#watch(socket, origin)
-      callback(...result)
+      if (socket == null) {
+        callback(...result)
+        return
+      }
+      this.#watch(socket, origin)
+      afterNextPoll(() => {
+        if (socket.destroyed) callback(new UnusedConnectionError(), null)
+        else callback(null, socket)
+      })
     })
   }
 
