Bodies that callers never finish no longer fill the memory of an entry host

What operators saw: 800 callers without a key that each send all but the last byte of a body of 256 KB make an entry host grow by 213 MB; its machine has 272 MB and 2,070 connections for callers.

Cause: a body up to 256 KB is buffered so that a retry can send it again, and nothing bounded the sum. Class: a bound for one input, none for their sum, as with the bodies of control hosts.

Fix: the buffered bodies of unanswered requests take at most 32 MB of a host. A body that finds no room is streamed as larger ones are: the request is served, but not sent again, and the caller is held back by the connection instead of by memory. A request with an idempotency key needs the digest of its body, which a streamed one does not have; without room it is refused with 503, not run.

--- a/src/front-end/callerServer.ts
+++ b/src/front-end/callerServer.ts
@@ -23,6 +23,7 @@
 import type { ParsedRequest, CallerRequest } from './callerProtocol.js'
 import { sendJson } from './jsonBody.js'
 import { EventLoopMonitor } from './eventLoopMonitor.js'
+import { BufferedBodies } from './bufferedBodies.js'
 import { EMPTY_BODY, readBody } from './requestBody.js'
 import type { BodyLimits } from './requestBody.js'
 import { SaturationLimit } from './saturationLimit.js'
@@ -33,6 +34,8 @@
 const KEEP_ALIVE_TIMEOUT_MS = 30_000
 const MS_PER_SECOND = 1_000
 const MAX_REQUEST_ID_LENGTH = 128
+/** Bytes of buffered bodies of unanswered requests. */
+const MAX_BUFFERED_BYTES = 32 * 1024 * 1024
 
 export interface CallerServerOptions extends AttemptRelayOptions {
   /** Prefix of the exchange and look-up ids that this server creates. */
@@ -53,6 +56,7 @@
   readonly #saturationLimit = new SaturationLimit()
   readonly #exchanges = new Map<ExchangeId, CallerExchange>()
   readonly #lookups = new Map<LookupId, ServerResponse>()
+  readonly #bufferedBodies = new BufferedBodies<CallerExchange>(MAX_BUFFERED_BYTES)
   readonly #labels = new SubjectLabels()
   readonly #connections = new WeakMap<Socket, CallerConnection>()
   #idCount = 0
@@ -167,11 +171,14 @@
   }
 
   async #readBody (row: CallerExchange): Promise<void> {
-    const body = await readBody(row.request, this.options.limits)
+    const isRequired = row.callerRequest.idempotencyKey !== null
+    const body = await readBody(row.request, this.options.limits, { isRequired, takeRoom: bytes => this.#bufferedBodies.take(row, bytes) })
     if ('kind' in body) {
       this.#exchanges.delete(row.exchange)
+      this.#bufferedBodies.release(row)
       row.connection.end(row)
       if (body.kind === 'too-large') sendJson(row.response, 413, { error: { reason: 'body-too-large', ran: 'not-run' } }, true)
+      if (body.kind === 'no-room') sendJson(row.response, 503, { error: { reason: 'overloaded', ran: 'not-run' } }, true)
       return
     }
     row.body = body
@@ -253,6 +260,7 @@
 
   #finishExchange (row: CallerExchange): void {
     if (!this.#exchanges.delete(row.exchange)) return
+    this.#bufferedBodies.release(row)
     const { response, trace, subject, callerRequest } = row
     row.connection.end(row)
     // A request that never started counts as not read.
--- a/src/front-end/requestBody.ts
+++ b/src/front-end/requestBody.ts
@@ -13,8 +13,8 @@
   readonly replayable: boolean
 }
 
-/** Why a body cannot be used: over the limit, or the caller closed the connection. */
-export type BodyError = { readonly kind: 'too-large' } | { readonly kind: 'caller-left' }
+/** Why a body cannot be used: over the limit, no room in memory, or the caller closed the connection. */
+export type BodyError = { readonly kind: 'too-large' } | { readonly kind: 'no-room' } | { readonly kind: 'caller-left' }
 
 /** Size limits in bytes: of any body, and of a body that is buffered. */
 export interface BodyLimits { readonly bodyBytes: number, readonly bufferedBodyBytes: number }
@@ -24,6 +24,14 @@
 /** The body of a request without one. */
 export const EMPTY_BODY: RequestBody = { buffered: Buffer.alloc(0), length: 0, digest: digestOf(''), replayable: true }
 
+/** How a body may be buffered. */
+export interface Buffering {
+  /** Whether the digest of the bytes is needed, which a streamed body does not have. */
+  readonly isRequired: boolean
+  /** Takes room in memory; false if there is none. */
+  takeRoom (bytes: number): boolean
+}
+
 const declaredLength = (request: IncomingMessage): number | null => {
   const text = request.headers['content-length']
   return text === undefined ? null : Number(text)
@@ -39,15 +47,18 @@
   return request.complete ? Buffer.concat(chunks) : null
 }
 
-/** Reads a small body into memory, and leaves one that is large or of unknown length to be streamed. */
-export const readBody = async (request: IncomingMessage, limits: BodyLimits): Promise<RequestBody | BodyError> => {
+/** Reads a small body into memory, and leaves one that is large, of unknown length or without room to be streamed. */
+export const readBody = async (request: IncomingMessage, limits: BodyLimits, buffering: Buffering): Promise<RequestBody | BodyError> => {
   const length = declaredLength(request)
   if (length === null && request.headers['transfer-encoding'] === undefined) return EMPTY_BODY
   if (length === 0) return EMPTY_BODY
   if (length !== null && length > limits.bodyBytes) return { kind: 'too-large' }
   if (length !== null && length <= limits.bufferedBodyBytes) {
-    const buffer = await readBuffered(request)
-    return buffer === null ? { kind: 'caller-left' } : { buffered: buffer, length, digest: digestOf(buffer), replayable: true }
+    if (buffering.takeRoom(length)) {
+      const buffer = await readBuffered(request)
+      return buffer === null ? { kind: 'caller-left' } : { buffered: buffer, length, digest: digestOf(buffer), replayable: true }
+    }
+    if (buffering.isRequired) return { kind: 'no-room' }
   }
   return { buffered: null, length, digest: digestOf(`flow ${length ?? 'chunked'}`), replayable: false }
 }
