--- a/scripts/listenerRules.mjs
+++ b/scripts/listenerRules.mjs
@@ -23,6 +23,7 @@
 /** Options of `no-restricted-syntax`. */
 export const listenerSyntax = [
   { selector: "NewExpression[callee.name='WebSocketServer']:not(:has(Property[key.name='noServer'][value.value=true]))", message: ADVICE },
+  { selector: "ImportSpecifier[imported.name='WebSocketServer']:not([local.name='WebSocketServer'])", message: ADVICE },
   { selector: 'ImportExpression[source.value=/^(node:)?(https?|http2|net|tls|dgram|ws)$/]', message: ADVICE },
   { selector: "CallExpression[callee.name='require']", message: 'use import' }
 ]
