A build keeps the fleet key that an earlier one made

What operators would see: hosts that never become ready, because one of the machines was built again: each build made a new key, so its processes did not know those of the other machines.

--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -1,10 +1,10 @@
 // Bundles the product and its tools, and builds the single executable dist/rhubarbseam.
 import { execFileSync } from 'node:child_process'
-import { randomBytes } from 'node:crypto'
 import { chmodSync, copyFileSync, mkdirSync, readFileSync, writeFileSync } from 'node:fs'
 import { createRequire } from 'node:module'
 import { resolve } from 'node:path'
 import { build } from 'esbuild'
+import { ensureFleetKey } from './fleetKey.mjs'
 
 const { version } = JSON.parse(readFileSync('package.json', 'utf8'))
 const SEA_FUSE = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2'
@@ -64,7 +64,7 @@
   return flags
 }
 
-// Builds the platform program with a code cache for each role, and a fleet key that all processes of one build share.
+// Builds the platform program with a code cache for each role, and a key that all processes of the fleet share.
 const buildPlatformProgram = async () => {
   mkdirSync('target', { recursive: true })
   await Promise.all([
@@ -72,7 +72,7 @@
     bundle('src/process/launcher.ts', 'target/rhubarbseam.cjs')
   ])
   for (const [role, flags] of readRoleFlags()) execFileSync(process.execPath, [...flags, 'target/rhubarbseam.cjs', 'make-code-cache', `target/${role}.cache`])
-  writeFileSync('target/fleet.key', `${randomBytes(32).toString('hex')}\n`)
+  ensureFleetKey('target/fleet.key')
 }
 
 if (process.argv.includes('--platform')) {
