Requests are not written while a lagging host may not have seen their callers leave

Cause: undici lets one poll pass before it writes to a kept connection. The host may be busy with the events of that very poll; a caller's end that arrives meanwhile is read by the next one, after the request was written.

Change: if more than 100 ms passed between the decision to send and the write, the bytes are held in the connection until one more poll has passed. The end of the caller closes the connection, and nothing is sent. A host that keeps up never holds anything.

Evidence: platform/callerLeaves.spec.ts, "a request whose caller leaves while the host takes up a kept connection for it is not sent on": the host is busy for 700 ms in the poll after the decision.

Limits: a host each of whose polls takes half a second may still write that late, as one more poll is all that it waits for. Bodies that are streamed are not held.

--- a/src/front-end/attemptClient.ts
+++ b/src/front-end/attemptClient.ts
@@ -20,6 +20,9 @@
 /** A response body that has not ended this long after it was too large to buffer is aborted, however much data arrives. */
 export const MAX_BODY_DURATION_MS = 120_000
 
+/** Time from the decision to send until the write from which on the caller may have left unseen: the process lacks processor time. */
+const MAX_SEND_LAG_MS = 100
+
 /** Responses up to this size are buffered before any byte is sent to the caller, so that the request can be retried when one is cut off. */
 const MAX_BUFFERED_RESPONSE_BYTES = 256 * 1024
 
@@ -102,6 +105,7 @@
 class ResponseReader implements Dispatcher.DispatchHandlers {
   readonly response: Promise<BackendResponse>
   #settle: { resolve (response: BackendResponse): void, reject (error: Error): void } = { resolve: () => {}, reject: () => {} }
+  readonly #createdAt = performance.now()
   #abort: ((error?: Error) => void) | null = null
   #endError: Error | null = null
   #statusCode = 0
@@ -126,6 +130,7 @@
   onConnect (abort: (error?: Error) => void): void {
     this.#abort = abort
     if (this.#endError !== null) abort(this.#endError)
+    else if (performance.now() - this.#createdAt > MAX_SEND_LAG_MS) this.connections.holdNextWrite()
   }
 
   onHeaders (statusCode: number, raw: Buffer[] | string[] | null, resume: () => void): boolean {
--- a/src/front-end/backendConnections.ts
+++ b/src/front-end/backendConnections.ts
@@ -63,6 +63,7 @@
 export class BackendConnections {
   readonly #resets = new Map<string, number>()
   readonly #connector = buildConnector({ timeout: CONNECT_TIMEOUT_MS })
+  #holdsNextWrite = false
   /** The connection that is being read: undici parses what it reads before it reads again. */
   #reading: WatchedConnection | null = null
 
@@ -106,7 +107,23 @@
     this.#reading.resumeParser = null
   }
 
+  /** Holds what is written next, to any connection, until one more poll has passed; a connection that closes until then sends nothing. */
+  holdNextWrite (): void { this.#holdsNextWrite = true }
+
+  #watchWrites (socket: Socket): void {
+    const write = socket.write.bind(socket) as (...args: unknown[]) => boolean
+    socket.write = (...args: unknown[]): boolean => {
+      if (this.#holdsNextWrite) {
+        this.#holdsNextWrite = false
+        socket.cork()
+        afterNextPoll(() => { socket.uncork() })
+      }
+      return write(...args)
+    }
+  }
+
   #watch (socket: Socket, origin: string): void {
+    this.#watchWrites(socket)
     const meter = new OverheadMeter()
     const connection: WatchedConnection = { meter, resumeParser: null, hasEnded: false }
     // These listeners run before those of undici, which may complete the response within the same event and then throws if its
