A host that accepts a link and never speaks is dialled again

What operators saw: when the other end accepts the connection and is then silent (a stopped process, a middlebox, a stranger at the address), messages to that host are queued and dropped for as long as the connection stays open; no other link is opened.

Cause: the end that accepts a link gives the handshake 1 s, the end that dials it bounded only the connection and the switch of protocols, and the check of silent links begins when a link is ready. Class: input before authentication without a bound on time.

Evidence: the new case of `linkHub.spec.ts` failed before (run: dialled once in 3 s) and passes now.

Fix: the end that dials closes a link whose handshake is not complete 1 s after the switch of protocols, as the other end does; the next message dials again.

--- a/src/front-end/linkHub.spec.ts
+++ b/src/front-end/linkHub.spec.ts
@@ -187,3 +187,21 @@
   clearInterval(timer)
   t.same(b.received[0], { from: 'a', message: fetch })
 })
+
+t.test('a listener that accepts a link and never speaks is dialled again', async t => {
+  const server = new WebSocketServer({ port: 0, host: '127.0.0.1', perMessageDeflate: false })
+  t.teardown(() => { server.close() })
+  let dials = 0
+  server.on('connection', socket => {
+    dials += 1
+    socket.on('error', () => {})
+  })
+  await new Promise(resolve => server.once('listening', resolve))
+  const a = await start(t, 'a', [KEY])
+  const { port } = server.address() as AddressInfo
+  const timer = setInterval(() => { a.hub.send(toId<HostId>('b'), { address: '127.0.0.1', port }, fetch) }, RETRY_MS)
+  t.teardown(() => { clearInterval(timer) })
+  const endAt = performance.now() + 3_000
+  await waitUntil(() => dials > 1 || performance.now() > endAt)
+  t.ok(dials > 1)
+})
--- a/src/front-end/linkHub.ts
+++ b/src/front-end/linkHub.ts
@@ -191,6 +191,8 @@
     socket.once('upgrade', ({ socket: connection }) => {
       // After the listener of the WebSocket, so that a frame that ends the handshake lifts the limit before what follows it is counted.
       socket.once('open', () => { liftLimit = this.#limitHandshake(socket, connection) })
+      const timer = setTimeout(() => { if (!link.isReady) socket.terminate() }, HANDSHAKE_TIMEOUT_MS)
+      socket.once('close', () => { clearTimeout(timer) })
     })
     const receive = (data: RawData): void => {
       if (link.isReady) {
