A caller whose request and reset are read together no longer occupies a server

What callers saw: less room than there is. The request of a caller that had reset its connection stayed in the table as running, at a server that had never got it, until its deadline.

Cause: a reset connection is read to its end within one poll, so the request and the departure of its caller come in the same tick. AttemptSystem handles departures before RequestSystem creates the exchange, so the departure met no exchange and was lost.

Change: RequestSystem takes no request that is followed by the departure of its caller in the same tick.

--- a/src/exchange/requestSystem.ts
+++ b/src/exchange/requestSystem.ts
@@ -2,7 +2,7 @@
 
 import { NEVER } from '../core/tick.js'
 import type { Millis, System, Tick } from '../core/tick.js'
-import type { ServiceId } from '../core/id.js'
+import type { ExchangeId, ServiceId } from '../core/id.js'
 import { toId } from '../core/id.js'
 import { findApprovedTerms } from '../configuration/configurationTables.js'
 import type { Service, Workspace } from '../configuration/types.js'
@@ -141,8 +141,15 @@
   constructor (readonly suspicion: SuspicionPolicy) {}
 
   run (tick: RequestTick): void {
-    for (const row of tick.inbox) {
-      if (row.kind === 'request') this.#handle(tick, row)
+    const departures = new Map<ExchangeId, number>()
+    for (const [position, row] of tick.inbox.entries()) {
+      if (row.kind === 'caller-left') departures.set(row.exchange, position)
+    }
+    for (const [position, row] of tick.inbox.entries()) {
+      if (row.kind !== 'request') continue
+      // Whoever left may have come back within the same tick, under the same id.
+      const hasLeft = (departures.get(row.exchange) ?? -1) > position
+      if (!hasLeft) this.#handle(tick, row)
     }
   }
 
