An entry host that was killed and started again no longer waits for seconds for its first server

What callers saw: an entry host that runs, has its configuration and is not ready, for 5 to 12 s and more, on starts of all hosts as well. Cause: the first synchronization may go to a peer in another region, which tells nothing about servers; the next ones go to hosts that are gone half of the time; and as soon as the configuration is confirmed, 5 s pass between them. Now a host that knows no server asks reachable peers only, each 400 ms eight times, then ever more seldom up to 5 s. Left: fleets that have no servers at all synchronize as before but for the first seconds of a host.

--- a/src/gossip/probeSystem.ts
+++ b/src/gossip/probeSystem.ts
@@ -23,6 +23,8 @@
 export const SYNC_INTERVAL_MS: Millis = 5_000
 /** Interval between synchronizations while a host has no confirmed configuration and can't serve requests. */
 export const UNCONFIRMED_SYNC_INTERVAL_MS: Millis = 400
+/** Number of synchronizations at that interval of a host that knows no backend server, after which it waits longer each time. */
+const SERVERLESS_SYNCS = 8
 /** Time after which a dead member is removed from the member table. */
 export const DEAD_MEMBER_RETENTION_MS: Millis = 600_000
 const FETCH_RETRY_INTERVAL_MS: Millis = 300
@@ -34,12 +36,17 @@
   if (mergeMember(tick, member)) spreadRumor(tick, memberTopic, { topic: 'member', member })
 }
 
+// Such a host can't serve requests.
+const knowsNoServer = ({ tables }: GossipTick): boolean => !tables.gossip.isAuthority && tables.backends.size === 0
+
 /** Probes members, marks unresponsive ones as suspect and then dead, and synchronizes with peers. */
 export class ProbeSystem implements System<RumorTables, GossipInput, GossipOutput> {
   readonly name = 'probe'
   /** Fetches since the configuration last advanced, and its index at that time. */
   #fetchCount = 0
   #fetchedAfter: LogIndex = -1
+  /** Synchronizations since the host last knew a backend server. */
+  #serverlessSyncCount = 0
 
   constructor (readonly dissemination: Dissemination) {}
 
@@ -95,9 +102,9 @@
     // A host without a confirmed configuration serves no requests, so it synchronizes more often until it has one.
     const isUnconfirmed = gossip.confirmedAt === null && !gossip.isAuthority
     const unreachable = this.dissemination.unreachableTargets(tick.tables)
-    const triesUnreachable = unreachable.length > 0 && (isAlone || tick.random.below(2) === 0)
+    const triesUnreachable = unreachable.length > 0 && (isAlone || (!knowsNoServer(tick) && tick.random.below(2) === 0))
     const candidates = triesUnreachable ? unreachable : peers
-    gossip.nextSyncAt = tick.now + (isUnconfirmed ? UNCONFIRMED_SYNC_INTERVAL_MS : isAlone ? PROBE_INTERVAL_MS : SYNC_INTERVAL_MS)
+    gossip.nextSyncAt = tick.now + (isUnconfirmed ? UNCONFIRMED_SYNC_INTERVAL_MS : isAlone ? PROBE_INTERVAL_MS : this.#syncInterval(tick))
     const target = pick(tick.random, candidates)
     if (target === undefined) return
     // Some seeds may be down, so a host that knows no members or waits for its configuration contacts all of them.
@@ -107,6 +114,17 @@
     this.#startSync(tick, target.host, target.link)
   }
 
+  // A peer in another region tells nothing about servers.
+  #syncInterval (tick: GossipTick): Millis {
+    if (!knowsNoServer(tick)) {
+      this.#serverlessSyncCount = 0
+      return SYNC_INTERVAL_MS
+    }
+    this.#serverlessSyncCount += 1
+    const doublings = Math.max(0, this.#serverlessSyncCount - SERVERLESS_SYNCS)
+    return Math.min(SYNC_INTERVAL_MS, UNCONFIRMED_SYNC_INTERVAL_MS * 2 ** doublings)
+  }
+
   #startSync (tick: GossipTick, host: HostId, link: Address): void {
     sendTo(tick, host, link, { kind: 'rumors', rumors: [{ topic: 'member', member: tick.tables.gossip.self }] })
     sendSync(tick, host, link, false)
