--- a/review/harness-2/lab.ts
+++ b/review/harness-2/lab.ts
@@ -119,8 +119,20 @@
   return status === undefined ? null : Number(status)
 }
 
+/** A case that still runs after this time ends as one that could not run. */
+const MAX_CASE_MS = 115_000
+
+/** Ends the processes of a fleet, by their ids, also when the case is asked to stop or takes too long. */
+const endEarly = (record: CaseRecord, fleet: ProviderFleet, reason: string): void => {
+  record.note(`the case could not run: ${reason}`)
+  for (const { process: host } of fleet.machines) host?.signal('SIGKILL')
+  process.exit(NOT_RUN)
+}
+
 /** Runs a case, stops its processes and ends this one with the exit code of the case. */
 export const runCase = async (record: CaseRecord, fleet: ProviderFleet, run: () => Promise<number>): Promise<never> => {
+  for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP'] as const) process.once(signal, () => { endEarly(record, fleet, signal) })
+  setTimeout(() => { endEarly(record, fleet, `it takes longer than ${MAX_CASE_MS} ms`) }, MAX_CASE_MS).unref()
   let code = NOT_RUN
   try {
     code = await run()
